--- /dev/null
+++ b/include/beryllane/clock/runtime_clock.h
@@ -0,0 +1,58 @@
+/// @file
+/// The clock of the runtime. Tests pause it and advance it by hand.
+#ifndef BERYLLANE_CLOCK_RUNTIME_CLOCK_H_
+#define BERYLLANE_CLOCK_RUNTIME_CLOCK_H_
+
+#include <chrono>
+
+namespace beryllane {
+
+/// Wall-clock time in the resolution that records carry.
+using WallTime = std::chrono::time_point<std::chrono::system_clock,
+                                         std::chrono::milliseconds>;
+
+/// A monotonic clock shared by the whole process. It meets the standard's
+/// Clock requirements, so Asio's `basic_waitable_timer` runs on it.
+///
+/// Example:
+/// @code
+///   RuntimeClock::Pause();
+///   RuntimeClock::Advance(std::chrono::seconds(5));
+/// @endcode
+class RuntimeClock {
+ public:
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<RuntimeClock>;
+  static constexpr bool is_steady = true;
+
+  /// Monotonic time. @pre none. Thread-safe.
+  static time_point now();
+  /// Wall-clock time; it moves with `now()` while paused. @pre none.
+  /// Thread-safe.
+  static WallTime WallNow();
+  /// Stops the clock at its present reading. @pre none. Thread-safe.
+  static void Pause();
+  /// Lets the clock run on from its present reading. @pre none. Thread-safe.
+  static void Resume();
+  /// Moves the clock forward. @pre `step` >= 0. Thread-safe.
+  static void Advance(std::chrono::nanoseconds step);
+  /// Tells whether the clock is paused. @pre none. Thread-safe.
+  static bool IsPaused();
+};
+
+/// Wait traits for `basic_waitable_timer<RuntimeClock, RuntimeWaitTraits>`: a
+/// paused clock is polled, so that `Advance` fires timers promptly.
+struct RuntimeWaitTraits {
+  /// Returns how long to wait in real time. @pre none. Thread-safe.
+  static RuntimeClock::duration to_wait_duration(
+      const RuntimeClock::duration& remaining);
+  /// Returns how long to wait in real time. @pre none. Thread-safe.
+  static RuntimeClock::duration to_wait_duration(
+      const RuntimeClock::time_point& deadline);
+};
+
+}  // namespace beryllane
+
+#endif  // BERYLLANE_CLOCK_RUNTIME_CLOCK_H_
--- /dev/null
+++ b/include/beryllane/error/error.h
@@ -0,0 +1,126 @@
+/// @file
+/// Numbered errors. Each id has an entry in docs/errors.md.
+#ifndef BERYLLANE_ERROR_ERROR_H_
+#define BERYLLANE_ERROR_ERROR_H_
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+#include "beryllane/verdict/verdict.h"
+
+namespace beryllane {
+
+/// Stable error numbers. A number is never given a second meaning.
+enum class ErrorId : int {
+  // 1xx: the request as the caller sent it.
+  kMalformedHttp = 101,
+  kHeadTooLarge = 102,
+  kBodyTooLarge = 103,
+  kSlowSender = 104,
+  kMalformedJson = 105,
+  kNestingTooDeep = 106,
+  kInvalidUtf8 = 107,
+  kInvalidField = 108,
+  kUnknownModel = 109,
+  kUnknownService = 110,
+  kUnknownKind = 111,
+  kInvalidDeadline = 112,
+  kNotAuthenticated = 113,
+  kNoSuchPath = 114,
+  kMethodNotAllowed = 115,
+  kInvalidHeader = 116,
+  kKeyRequired = 117,
+  kInvalidKey = 118,
+  kKeyExpired = 119,
+  kKeyReusedForOtherRequest = 120,
+  // 2xx: the router cannot serve the request now.
+  kNotReady = 201,
+  kDraining = 202,
+  kNoTarget = 203,
+  kOverloaded = 204,
+  kDeadlineExceeded = 205,
+  kRateLimited = 206,
+  kClaimUnavailable = 207,
+  kRetryBudgetSpent = 208,
+  // 3xx: a target failed.
+  kTargetUnreachable = 301,
+  kTargetFailed = 302,
+  kTargetSilent = 303,
+  kTargetAnswerInvalid = 304,
+  kStreamBroken = 305,
+  kOutcomeUnknown = 306,
+  kInProgressElsewhere = 307,
+  // 4xx: the platform.
+  kLogUnavailable = 401,
+  kLogAnswerInvalid = 402,
+  kHostListUnavailable = 403,
+  // 5xx: configuration.
+  kConfigInvalid = 501,
+  kConfigBaseMismatch = 502,
+  kConfigUnknownField = 503,
+  // 6xx: settings of a process.
+  kSettingInvalid = 601,
+  kSettingMissing = 602,
+  kSettingUnknown = 603,
+  kSettingConflict = 604,
+  // 7xx: peers.
+  kPeerUnreachable = 701,
+  kPeerMessageInvalid = 702,
+};
+
+/// An error with its number, what was seen and what was expected, and whether
+/// the request it belongs to may have run.
+struct Error {
+  ErrorId id = ErrorId::kInvalidField;
+  std::string message;
+  Verdict verdict = Verdict::kNotRun;
+};
+
+/// Returns the stable name of an error, such as `body_too_large`.
+///
+/// @pre none. Thread-safe. Complexity: constant.
+std::string_view Name(ErrorId id);
+
+/// Returns the HTTP status that a caller sees for an error.
+///
+/// @pre none. Thread-safe. Complexity: constant.
+int HttpStatus(ErrorId id);
+
+/// A value or an error, for code that suspends between the failure and its
+/// handler. Synchronous code uses `boost::leaf::result`, whose error objects
+/// live in thread-local storage and cannot cross a suspension point.
+template <typename T>
+class Result {
+ public:
+  /// Holds a value. @pre none. Not thread-safe.
+  Result(T value)
+      : state_(std::move(value)) {
+  }  // NOLINT(google-explicit-constructor): mirrors std::expected
+  /// Holds an error. @pre none. Not thread-safe.
+  Result(Error error)
+      : state_(std::move(error)) {
+  }  // NOLINT(google-explicit-constructor): mirrors std::expected
+
+  /// Tells whether a value is held. @pre none. Thread-safe for const use.
+  bool ok() const { return std::holds_alternative<T>(state_); }
+  /// The value. @pre `ok()`. Thread-safe for const use.
+  T& value() { return std::get<T>(state_); }
+  /// The value. @pre `ok()`. Thread-safe for const use.
+  const T& value() const { return std::get<T>(state_); }
+  /// The error. @pre `!ok()`. Thread-safe for const use.
+  Error& error() { return std::get<Error>(state_); }
+  /// The error. @pre `!ok()`. Thread-safe for const use.
+  const Error& error() const { return std::get<Error>(state_); }
+
+ private:
+  std::variant<T, Error> state_;
+};
+
+/// The value type of a `Result` that only succeeds or fails.
+struct Done {};
+
+}  // namespace beryllane
+
+#endif  // BERYLLANE_ERROR_ERROR_H_
--- /dev/null
+++ b/include/beryllane/invariant/invariant.h
@@ -0,0 +1,39 @@
+/// @file
+/// Checks of internal invariants: counted and logged in production, fatal in
+/// tests.
+#ifndef BERYLLANE_INVARIANT_INVARIANT_H_
+#define BERYLLANE_INVARIANT_INVARIANT_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace beryllane::invariant {
+
+/// Called for each violation with the invariant's id and the location.
+using Handler = void (*)(const char* id, const char* file, int line);
+
+/// Replaces the handler; null restores the default, which only counts.
+/// @pre none. Thread-safe.
+void SetHandler(Handler handler);
+
+/// Makes violations abort the process when `fatal`. @pre none. Thread-safe.
+void SetFatal(bool fatal);
+
+/// Counts a violation and calls the handler. @pre `id` is a literal.
+/// Thread-safe.
+void Violated(const char* id, const char* file, int line);
+
+/// Violations by id since the process started. @pre none. Thread-safe.
+std::map<std::string, std::uint64_t> Counts();
+
+}  // namespace beryllane::invariant
+
+/// Checks an internal invariant by id. Ids are listed in docs/errors.md.
+#ifndef BERYLLANE_INVARIANT
+#define BERYLLANE_INVARIANT(id, condition) \
+  ((condition) ? static_cast<void>(0)      \
+               : ::beryllane::invariant::Violated((id), __FILE__, __LINE__))
+#endif
+
+#endif  // BERYLLANE_INVARIANT_INVARIANT_H_
--- /dev/null
+++ b/include/beryllane/limit/rate_limiter.h
@@ -0,0 +1,88 @@
+/// @file
+/// A rate limit and a retry budget without locks.
+#ifndef BERYLLANE_LIMIT_RATE_LIMITER_H_
+#define BERYLLANE_LIMIT_RATE_LIMITER_H_
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+
+#include "beryllane/clock/runtime_clock.h"
+
+namespace beryllane {
+
+/// The generic cell rate algorithm: one atomic holds the time at which the
+/// next request would be exactly on schedule.
+class RateLimiter {
+ public:
+  /// How much of a burst is let through, as time at the full rate.
+  static constexpr std::chrono::milliseconds kBurst{1000};
+
+  /// @pre `per_second` > 0.
+  explicit RateLimiter(double per_second) { SetRate(per_second); }
+
+  /// Changes the rate. @pre `per_second` > 0. Thread-safe.
+  void SetRate(double per_second) {
+    constexpr double kNanosPerSecond = 1e9;
+    const double interval = kNanosPerSecond / per_second;
+    interval_ns_.store(static_cast<std::int64_t>(interval),
+                       std::memory_order_relaxed);
+  }
+
+  /// Takes one request; false if it is over the limit. @pre none.
+  /// Thread-safe, lock-free.
+  bool TryTake(RuntimeClock::time_point now) {
+    const std::int64_t now_ns = now.time_since_epoch().count();
+    const std::int64_t interval = interval_ns_.load(std::memory_order_relaxed);
+    const std::int64_t burst =
+        std::max(std::chrono::nanoseconds(kBurst).count(), interval);
+    std::int64_t expected = next_ns_.load(std::memory_order_relaxed);
+    for (;;) {
+      const std::int64_t scheduled = std::max(expected, now_ns);
+      if (scheduled + interval > now_ns + burst) return false;
+      if (next_ns_.compare_exchange_weak(expected, scheduled + interval,
+                                         std::memory_order_relaxed)) {
+        return true;
+      }
+    }
+  }
+
+ private:
+  std::atomic<std::int64_t> interval_ns_{0};
+  std::atomic<std::int64_t> next_ns_{0};
+};
+
+/// Lets retries be a share of requests, so that a pool that is down is not
+/// met with a storm of them.
+class RetryBudget {
+ public:
+  /// Retries that may be saved up.
+  static constexpr double kMaxSaved = 20;
+
+  /// Credits one first attempt. @pre 0 <= `share` <= 1. Thread-safe.
+  void Credit(double share) {
+    double saved = saved_.load(std::memory_order_relaxed);
+    while (!saved_.compare_exchange_weak(
+        saved, std::min(kMaxSaved, saved + share), std::memory_order_relaxed)) {
+    }
+  }
+  /// Takes one retry; false if the budget is spent. @pre none. Thread-safe.
+  bool TryTake() {
+    double saved = saved_.load(std::memory_order_relaxed);
+    while (saved >= 1) {
+      if (saved_.compare_exchange_weak(saved, saved - 1,
+                                       std::memory_order_relaxed)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+ private:
+  std::atomic<double> saved_{kMaxSaved};
+};
+
+}  // namespace beryllane
+
+#endif  // BERYLLANE_LIMIT_RATE_LIMITER_H_
--- /dev/null
+++ b/include/beryllane/placement/reuse_table.h
@@ -0,0 +1,53 @@
+/// @file
+/// What responses taught about which runner holds which prefix.
+#ifndef BERYLLANE_PLACEMENT_REUSE_TABLE_H_
+#define BERYLLANE_PLACEMENT_REUSE_TABLE_H_
+
+#include <atomic>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+
+#include "beryllane/clock/runtime_clock.h"
+#include "beryllane/hash/hash.h"
+
+namespace beryllane::placement {
+
+/// A fixed-size table of (prefix, runner incarnation) pairs that expire within
+/// seconds. Old pairs are overwritten by new ones in the same slot, so memory
+/// is bounded and no lock is taken. A lost race costs one hint.
+class ReuseTable {
+ public:
+  /// How long a runner is expected to keep a prefix that nobody asks for.
+  static constexpr std::chrono::seconds kLifetime{10};
+
+  /// Rounds `slots` up to a power of two; 16 bytes each. @pre `slots` > 0.
+  explicit ReuseTable(std::size_t slots);
+
+  /// Notes that a runner's incarnation holds `prefix`. @pre none.
+  /// Thread-safe, lock-free.
+  void Learn(const Hash128& prefix, std::uint64_t incarnation,
+             RuntimeClock::time_point now);
+  /// Whether a runner's incarnation is believed to hold `prefix`. @pre none.
+  /// Thread-safe, lock-free.
+  bool Holds(const Hash128& prefix, std::uint64_t incarnation,
+             RuntimeClock::time_point now) const;
+  /// Bytes of memory held. @pre none. Thread-safe.
+  std::size_t bytes() const { return (mask_ + 1) * sizeof(Slot); }
+
+ private:
+  struct Slot {
+    std::atomic<std::uint64_t> tag{0};
+    std::atomic<std::int64_t> expires_ns{0};
+  };
+
+  static std::uint64_t Tag(const Hash128& prefix, std::uint64_t incarnation);
+
+  std::size_t mask_;
+  std::unique_ptr<Slot[]> slots_;
+};
+
+}  // namespace beryllane::placement
+
+#endif  // BERYLLANE_PLACEMENT_REUSE_TABLE_H_
--- /dev/null
+++ b/src/caller/completion_request.h
@@ -0,0 +1,49 @@
+/// @file
+/// Completion requests as callers send them.
+#ifndef BERYLLANE_SRC_CALLER_COMPLETION_REQUEST_H_
+#define BERYLLANE_SRC_CALLER_COMPLETION_REQUEST_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "beryllane/error/error.h"
+
+namespace beryllane::caller {
+
+/// One message of a prompt.
+struct Message {
+  std::string role;
+  std::string content;
+};
+
+/// The parts of a completion request that routing needs.
+struct CompletionRequest {
+  std::string model;
+  std::vector<Message> messages;
+  bool is_stream = false;
+  std::uint64_t max_tokens = 0;
+};
+
+/// What the router adds to the request it sends to an engine.
+struct EngineFields {
+  std::string_view cache_salt;
+  std::string_view weights_version;
+  int priority = 0;
+  std::uint64_t resume_from = 0;
+};
+
+/// Parses a request body. Bounds nesting, requires UTF-8, and refuses the
+/// fields that the router itself sets. @pre none. Thread-safe. Complexity:
+/// linear.
+Result<CompletionRequest> ParseCompletion(const std::string& body,
+                                          bool is_chat);
+
+/// The body for an engine: the caller's with the router's fields added.
+/// @pre `body` was parsed by `ParseCompletion`. Thread-safe.
+std::string EngineBody(const std::string& body, const EngineFields& fields);
+
+}  // namespace beryllane::caller
+
+#endif  // BERYLLANE_SRC_CALLER_COMPLETION_REQUEST_H_
--- /dev/null
+++ b/src/caller/error_answer.cc
@@ -0,0 +1,44 @@
+#include "src/caller/error_answer.h"
+
+#include <nlohmann/json.hpp>
+
+namespace beryllane::caller {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kServerErrors = 500;
+constexpr int kTooManyRequests = 429;
+
+}  // namespace
+
+std::string ErrorBody(const Error& error) {
+  const int status = HttpStatus(error.id);
+  const json body{{"error",
+                   {{"message", error.message},
+                    {"type", status < kServerErrors ? "invalid_request_error"
+                                                    : "server_error"},
+                    {"param", nullptr},
+                    {"code", Name(error.id)},
+                    {"id", static_cast<int>(error.id)},
+                    {"verdict", ToString(error.verdict)}}}};
+  return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+net::Response ErrorAnswer(const Error& error) {
+  const int status = HttpStatus(error.id);
+  net::Response answer =
+      net::MakeResponse(status, ErrorBody(error) + "\n", "application/json");
+  answer.set(kVerdictHeader, std::string(ToString(error.verdict)));
+  const bool may_retry_later =
+      error.verdict == Verdict::kNotRun &&
+      (status == kTooManyRequests || status > kServerErrors);
+  if (may_retry_later) answer.set(net::http::field::retry_after, "1");
+  return answer;
+}
+
+std::string ErrorEvent(const Error& error) {
+  return "event: error\ndata: " + ErrorBody(error) + "\n\n";
+}
+
+}  // namespace beryllane::caller
--- /dev/null
+++ b/src/caller/front.cc
@@ -0,0 +1,155 @@
+#include "src/caller/front.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <utility>
+
+#include "fmt/format.h"
+#include "src/caller/error_answer.h"
+#include "src/telemetry/log.h"
+
+namespace beryllane::caller {
+namespace {
+
+using net::asio::awaitable;
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+net::ServerLimits LimitsFrom(const router::Settings& settings) {
+  net::ServerLimits limits;
+  limits.body_bytes = settings.max_body_bytes;
+  limits.head_timeout = settings.head_timeout;
+  limits.body_timeout = settings.body_timeout;
+  return limits;
+}
+
+net::Response JsonAnswer(int status, const json& body) {
+  return net::MakeResponse(
+      status, body.dump(-1, ' ', false, json::error_handler_t::replace) + "\n",
+      "application/json");
+}
+
+bool IsPost(const net::Exchange& exchange) {
+  return exchange.request().method() == net::http::verb::post;
+}
+
+Error NoSuchPath(const std::string& path) {
+  return {ErrorId::kNoSuchPath, fmt::format("there is no path \"{}\"", path),
+          Verdict::kNotRun};
+}
+
+Error NeedsPost(const std::string& path) {
+  return {ErrorId::kMethodNotAllowed, fmt::format("\"{}\" takes POST", path),
+          Verdict::kNotRun};
+}
+
+}  // namespace
+
+Front::Front(router::Node& node)
+    : node_(node),
+      metrics_(node.metrics()),
+      completions_(node, metrics_),
+      services_(node, metrics_),
+      server_(
+          node.requests(), LimitsFrom(node.settings()),
+          [this](net::Exchange& e) { return HandleCaller(e); }, ErrorAnswer),
+      admin_(
+          node.requests(), LimitsFrom(node.settings()),
+          [this](net::Exchange& e) { return HandleAdmin(e); }, ErrorAnswer) {
+  node.metrics().AddComputed(
+      "beryllane_exchanges_running", "Requests being answered now",
+      [this] { return static_cast<double>(server_.running()); });
+}
+
+Result<Done> Front::Start() {
+  auto listening = server_.Listen(node_.settings().listen);
+  if (!listening.ok()) return listening.error();
+  auto admin = admin_.Listen(node_.settings().admin_listen);
+  if (!admin.ok()) return admin.error();
+  return Done{};
+}
+
+awaitable<std::int64_t> Front::Drain() {
+  constexpr milliseconds kCheckEvery{20};
+  const auto limit = RuntimeClock::now() + node_.settings().drain_limit;
+  telemetry::Log(telemetry::Level::kInfo, telemetry::event::kDraining,
+                 {{"running", server_.running()}});
+  // Readiness fails first, and answers close their connections, so that the
+  // balancer sends new requests elsewhere before any is refused.
+  node_.SetStopping();
+  server_.CloseAfterResponses();
+  co_await net::Sleep(node_.settings().drain_grace);
+  server_.StopAccepting();
+  server_.CloseIdle();
+  while (server_.running() > 0 && RuntimeClock::now() < limit) {
+    co_await net::Sleep(kCheckEvery);
+  }
+  co_await node_.Drain();
+  co_return server_.running();
+}
+
+awaitable<void> Front::HandleCaller(net::Exchange& exchange) {
+  const std::string path(net::Target(exchange.request()));
+  const bool is_chat = path == "/v1/chat/completions";
+  const bool is_completion = is_chat || path == "/v1/completions";
+  if (is_completion && IsPost(exchange)) {
+    co_await completions_.Handle(exchange, is_chat);
+  } else if (path.starts_with("/services/")) {
+    co_await services_.Handle(exchange);
+  } else if (path == "/healthz" || path == "/readyz") {
+    co_await Health(exchange, path == "/readyz");
+  } else {
+    const Error error = is_completion ? NeedsPost(path) : NoSuchPath(path);
+    net::Response answer = ErrorAnswer(error);
+    co_await exchange.Respond(std::move(answer));
+  }
+}
+
+awaitable<void> Front::Health(net::Exchange& exchange, bool wants_ready) {
+  const router::Readiness readiness = node_.CheckReadiness();
+  const bool ok = !wants_ready || readiness.is_ready;
+  const json body{{"ok", ok}, {"reason", readiness.reason}};
+  net::Response answer = JsonAnswer(ok ? 200 : 503, body);
+  co_await exchange.Respond(std::move(answer));
+}
+
+awaitable<void> Front::HandleAdmin(net::Exchange& exchange) {
+  const std::string path(net::Target(exchange.request()));
+  if (path == "/healthz" || path == "/readyz") {
+    co_await Health(exchange, path == "/readyz");
+  } else if (path == "/metrics") {
+    net::Response answer = net::MakeResponse(200, node_.metrics().Print(),
+                                             "text/plain; version=0.0.4");
+    co_await exchange.Respond(std::move(answer));
+  } else if (path == "/status") {
+    json status = co_await net::asio::co_spawn(
+        node_.control(), StatusOnControl(), net::asio::use_awaitable);
+    net::Response answer = JsonAnswer(200, status);
+    co_await exchange.Respond(std::move(answer));
+  } else if (path.starts_with("/explain/") && IsPost(exchange)) {
+    co_await Explain(exchange);
+  } else if (path == "/drain" && IsPost(exchange)) {
+    if (on_drain_request_) on_drain_request_();
+    const json body{{"draining", true}};
+    net::Response answer = JsonAnswer(202, body);
+    co_await exchange.Respond(std::move(answer));
+  } else {
+    net::Response answer = ErrorAnswer(NoSuchPath(path));
+    co_await exchange.Respond(std::move(answer));
+  }
+}
+
+awaitable<json> Front::StatusOnControl() { co_return node_.StatusJson(); }
+
+awaitable<void> Front::Explain(net::Exchange& exchange) {
+  constexpr std::string_view kPrefix = "/explain/";
+  const std::string account(
+      net::Target(exchange.request()).substr(kPrefix.size()));
+  const std::string body = exchange.TakeBody();
+  const bool is_chat = body.find("\"messages\"") != std::string::npos;
+  auto explained = completions_.Explain(body, is_chat, account);
+  net::Response answer = explained.ok() ? JsonAnswer(200, explained.value())
+                                        : ErrorAnswer(explained.error());
+  co_await exchange.Respond(std::move(answer));
+}
+
+}  // namespace beryllane::caller
--- /dev/null
+++ b/src/caller/front.h
@@ -0,0 +1,52 @@
+/// @file
+/// The router's HTTP servers and their paths.
+#ifndef BERYLLANE_SRC_CALLER_FRONT_H_
+#define BERYLLANE_SRC_CALLER_FRONT_H_
+
+#include <functional>
+#include <nlohmann/json.hpp>
+
+#include "src/caller/completion_handler.h"
+#include "src/caller/request_metrics.h"
+#include "src/caller/service_handler.h"
+#include "src/net/http_server.h"
+#include "src/router/node.h"
+
+namespace beryllane::caller {
+
+/// Serves callers on one address and operators on another.
+class Front {
+ public:
+  /// @pre `node` outlives the front.
+  explicit Front(router::Node& node);
+
+  /// Opens both ports. @pre called once.
+  Result<Done> Start();
+  /// Stops gracefully: not ready at once, then no new connections, then waits
+  /// for running requests up to the limit. Returns the number of requests cut.
+  /// @pre on the control loop.
+  net::asio::awaitable<std::int64_t> Drain();
+  /// Sets what an operator's request for a stop calls. @pre before `Start`.
+  void OnDrainRequest(std::function<void()> handler) {
+    on_drain_request_ = std::move(handler);
+  }
+
+ private:
+  net::asio::awaitable<void> HandleCaller(net::Exchange& exchange);
+  net::asio::awaitable<void> HandleAdmin(net::Exchange& exchange);
+  net::asio::awaitable<void> Health(net::Exchange& exchange, bool wants_ready);
+  net::asio::awaitable<void> Explain(net::Exchange& exchange);
+  net::asio::awaitable<nlohmann::json> StatusOnControl();
+
+  router::Node& node_;
+  RequestMetrics metrics_;
+  CompletionHandler completions_;
+  ServiceHandler services_;
+  net::HttpServer server_;
+  net::HttpServer admin_;
+  std::function<void()> on_drain_request_;
+};
+
+}  // namespace beryllane::caller
+
+#endif  // BERYLLANE_SRC_CALLER_FRONT_H_
--- /dev/null
+++ b/src/caller/request_context.cc
@@ -0,0 +1,125 @@
+#include "src/caller/request_context.h"
+
+#include <openssl/evp.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <string_view>
+
+#include "fmt/format.h"
+#include "src/caller/error_answer.h"
+
+namespace beryllane::caller {
+namespace {
+
+using std::chrono::milliseconds;
+
+Error Fault(ErrorId id, std::string message) {
+  return {id, std::move(message), Verdict::kNotRun};
+}
+
+Result<milliseconds> ReadDeadline(const net::Exchange& exchange,
+                                  const config::Defaults& defaults) {
+  const std::string_view text =
+      net::Header(exchange.request(), kDeadlineHeader);
+  if (text.empty()) return defaults.deadline;
+  std::int64_t millis = 0;
+  const char* last = text.data() + text.size();
+  const auto [end, error] = std::from_chars(text.data(), last, millis);
+  const bool is_number = error == std::errc() && end == last;
+  if (!is_number || millis < 1 || millis > defaults.max_deadline.count()) {
+    return Fault(
+        ErrorId::kInvalidDeadline,
+        fmt::format("{} is \"{}\"; expected 1 to {} milliseconds",
+                    kDeadlineHeader, text, defaults.max_deadline.count()));
+  }
+  return milliseconds(millis);
+}
+
+Result<std::string> Authenticate(const net::Exchange& exchange,
+                                 const config::Config& config) {
+  constexpr std::string_view kBearer = "Bearer ";
+  const std::string_view header =
+      net::Header(exchange.request(), "Authorization");
+  if (!header.starts_with(kBearer)) {
+    return Fault(ErrorId::kNotAuthenticated,
+                 "the request has no bearer key in Authorization");
+  }
+  const auto account =
+      config.accounts_by_key.find(Sha256Hex(header.substr(kBearer.size())));
+  if (account == config.accounts_by_key.end()) {
+    return Fault(ErrorId::kNotAuthenticated,
+                 "the bearer key belongs to no client account");
+  }
+  return account->second;
+}
+
+}  // namespace
+
+std::string Sha256Hex(std::string_view text) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+  unsigned int size = 0;
+  EVP_Digest(text.data(), text.size(), digest.data(), &size, EVP_sha256(),
+             nullptr);
+  std::string hex;
+  for (unsigned int i = 0; i < size; ++i) {
+    hex += kDigits[digest[i] >> 4];
+    hex += kDigits[digest[i] & 0xF];
+  }
+  return hex;
+}
+
+std::chrono::nanoseconds RequestContext::TimeLeft() const {
+  return std::max(std::chrono::nanoseconds(0),
+                  std::chrono::nanoseconds(deadline - RuntimeClock::now()));
+}
+
+Result<RequestContext> Establish(const net::Exchange& exchange,
+                                 router::Node& node) {
+  RequestContext context;
+  context.id = fmt::format("{:016x}{:016x}", telemetry::RandomId(),
+                           telemetry::RandomId());
+  context.trace =
+      node.tracer().Begin(net::Header(exchange.request(), "traceparent"));
+  context.state = node.loop(exchange.loop()).routing.GetShared();
+  if (node.is_draining()) {
+    return Fault(ErrorId::kDraining, "the router is stopping");
+  }
+  if (!context.state->is_ready()) {
+    return Fault(ErrorId::kNotReady, node.CheckReadiness().reason);
+  }
+  const config::Config& config = *context.state->config;
+  auto account = Authenticate(exchange, config);
+  if (!account.ok()) return account.error();
+  context.account = std::move(account.value());
+  const auto deadline = ReadDeadline(exchange, config.defaults);
+  if (!deadline.ok()) return deadline.error();
+  context.deadline = exchange.started() + deadline.value();
+  const auto limiter = context.state->limiters.find(context.account);
+  if (limiter != context.state->limiters.end() &&
+      !limiter->second->TryTake(RuntimeClock::now())) {
+    return Fault(
+        ErrorId::kRateLimited,
+        fmt::format("account {} is over its {} requests per second",
+                    context.account,
+                    config.accounts.at(context.account).requests_per_second));
+  }
+  return context;
+}
+
+Result<config::RequestKind> KindOf(const net::Exchange& exchange,
+                                   const RequestContext& context,
+                                   const std::string& fallback) {
+  const std::string_view header = net::Header(exchange.request(), kKindHeader);
+  const std::string name = header.empty() ? fallback : std::string(header);
+  const auto kind = context.state->config->kinds.find(name);
+  if (kind == context.state->config->kinds.end()) {
+    return Fault(ErrorId::kUnknownKind,
+                 fmt::format("\"{}\" is not a request kind", name));
+  }
+  return kind->second;
+}
+
+}  // namespace beryllane::caller
--- /dev/null
+++ b/src/caller/request_context.h
@@ -0,0 +1,44 @@
+/// @file
+/// What is established about a request before it is routed.
+#ifndef BERYLLANE_SRC_CALLER_REQUEST_CONTEXT_H_
+#define BERYLLANE_SRC_CALLER_REQUEST_CONTEXT_H_
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include "beryllane/error/error.h"
+#include "src/net/http_server.h"
+#include "src/router/node.h"
+
+namespace beryllane::caller {
+
+/// One request's identity, account, deadline and view of the fleet.
+struct RequestContext {
+  std::string id;
+  std::string account;
+  telemetry::TraceContext trace;
+  RuntimeClock::time_point deadline;
+  std::shared_ptr<const router::RoutingState> state;
+
+  /// Time left until the deadline; never negative. @pre none.
+  std::chrono::nanoseconds TimeLeft() const;
+};
+
+/// Checks readiness, credential, limit and deadline, in this order. @pre on
+/// the loop of `exchange`.
+Result<RequestContext> Establish(const net::Exchange& exchange,
+                                 router::Node& node);
+
+/// The kind that a request names, or `fallback`. @pre `context.state` is
+/// ready.
+Result<config::RequestKind> KindOf(const net::Exchange& exchange,
+                                   const RequestContext& context,
+                                   const std::string& fallback);
+
+/// Lower-case hexadecimal SHA-256. @pre none. Thread-safe.
+std::string Sha256Hex(std::string_view text);
+
+}  // namespace beryllane::caller
+
+#endif  // BERYLLANE_SRC_CALLER_REQUEST_CONTEXT_H_
--- /dev/null
+++ b/src/caller/service_handler.cc
@@ -0,0 +1,351 @@
+#include "src/caller/service_handler.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <optional>
+#include <utility>
+
+#include "beryllane/invariant/invariant.h"
+#include "fmt/format.h"
+#include "src/caller/error_answer.h"
+#include "src/caller/service_call.h"
+#include "src/telemetry/log.h"
+
+namespace beryllane::caller {
+namespace {
+
+using claim::ClaimStatus;
+using net::asio::awaitable;
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+using telemetry::Span;
+using telemetry::TraceContext;
+
+constexpr int kServerErrors = 500;
+// Largest answer that is kept in the log for repeats of its key.
+constexpr std::size_t kMaxKeptBody = 4096;
+// Time after a request's deadline at which its attempt has surely ended.
+constexpr milliseconds kExpiryGrace{2000};
+
+// The answer of a target, or the error that stands for it.
+struct CallEnd {
+  std::optional<net::Response> answer;
+  Error error;
+};
+
+class ServiceRun {
+ public:
+  ServiceRun(net::Exchange& exchange, router::Node& node,
+             RequestMetrics& metrics, const RequestContext& context,
+             ServiceCall call)
+      : exchange_(exchange),
+        node_(node),
+        metrics_(metrics),
+        context_(context),
+        call_(std::move(call)),
+        body_(exchange.TakeBody()) {}
+
+  awaitable<void> Run() {
+    CallEnd end;
+    if (call_.needs_claim()) {
+      end = co_await RunClaimed();
+    } else {
+      end = co_await SendWithRetries();
+    }
+    if (!end.answer) {
+      metrics_.CountError(end.error);
+      telemetry::Log(telemetry::Level::kInfo, telemetry::event::kRequestFailed,
+                     {{"request", context_.id},
+                      {"account", context_.account},
+                      {"error", Name(end.error.id)},
+                      {"message", end.error.message},
+                      {"verdict", ToString(end.error.verdict)}});
+      end.answer = ErrorAnswer(end.error);
+    } else {
+      metrics_.answered.Add();
+    }
+    end.answer->set(kRequestIdHeader, context_.id);
+    co_await exchange_.Respond(std::move(*end.answer));
+  }
+
+ private:
+  Hash128 ClaimKey() const {
+    return ChainHash(HashBytes(context_.account), call_.key);
+  }
+
+  Hash128 Fingerprint() const {
+    const std::string_view method(exchange_.request().method_string().data(),
+                                  exchange_.request().method_string().size());
+    return ChainHash(ChainHash(HashBytes(method), call_.path), body_);
+  }
+
+  awaitable<CallEnd> RunClaimed() {
+    claim::ClaimEntry entry;
+    entry.key = ClaimKey();
+    entry.id = router::NewAttemptId();
+    entry.fingerprint = Fingerprint();
+    entry.issued = call_.key_issued;
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(context_.TimeLeft());
+    entry.expires = RuntimeClock::WallNow() + left + kExpiryGrace;
+    // Part of the deadline is left for the call itself.
+    constexpr int kClaimShare = 2;
+    const router::ClaimGateway::Claimed claimed =
+        co_await Claim(entry, left / kClaimShare);
+    const claim::ClaimAnswer& answer = claimed.answer;
+    if (answer.status != ClaimStatus::kWon) co_return AnswerUnwon(answer);
+    entry.id = claimed.id;
+    const bool is_past_deadline = context_.TimeLeft() <= nanoseconds(0);
+    if (is_past_deadline) {
+      Post(claim::VoidEntry{entry.key, entry.id});
+      co_return Failure(ErrorId::kDeadlineExceeded,
+                        "the deadline passed before the call was sent",
+                        Verdict::kNotRun);
+    }
+    CallEnd end = co_await SendUntilWritten();
+    Settle(entry, end);
+    co_return end;
+  }
+
+  awaitable<router::ClaimGateway::Claimed> Claim(claim::ClaimEntry entry,
+                                                 milliseconds patience) {
+    const auto start = RuntimeClock::now();
+    const TraceContext trace = telemetry::Tracer::Child(context_.trace);
+    auto claimed = co_await net::asio::co_spawn(
+        node_.control(), node_.claims().Claim(entry, patience),
+        net::asio::use_awaitable);
+    const auto end = RuntimeClock::now();
+    metrics_.claim_wait.Record(end - start);
+    Span span{trace,
+              "peer",
+              start,
+              end,
+              claimed.answer.status == ClaimStatus::kUnavailable,
+              {}};
+    span.attributes.emplace_back(
+        "status", std::to_string(static_cast<int>(claimed.answer.status)));
+    node_.tracer().Finish(std::move(span));
+    co_return claimed;
+  }
+
+  CallEnd AnswerUnwon(const claim::ClaimAnswer& answer) const {
+    switch (answer.status) {
+      case ClaimStatus::kAnswered:
+        return Replay(*answer.outcome);
+      case ClaimStatus::kInProgress:
+        return Failure(ErrorId::kInProgressElsewhere,
+                       "another request with this key is being answered",
+                       Verdict::kMayHaveRun);
+      case ClaimStatus::kUnknownOutcome:
+        return Failure(ErrorId::kOutcomeUnknown,
+                       "an earlier request with this key was sent and its "
+                       "outcome is not known",
+                       Verdict::kMayHaveRun);
+      case ClaimStatus::kExpired:
+        return Failure(ErrorId::kKeyExpired,
+                       "the key was too old when its claim was logged",
+                       Verdict::kNotRun);
+      case ClaimStatus::kOtherRequest:
+        return Failure(ErrorId::kKeyReusedForOtherRequest,
+                       "the key was used for a different request",
+                       Verdict::kNotRun);
+      case ClaimStatus::kUnavailable:
+      case ClaimStatus::kWon:
+        break;
+    }
+    return Failure(ErrorId::kClaimUnavailable,
+                   "the log service did not settle the key in time",
+                   Verdict::kNotRun);
+  }
+
+  CallEnd Replay(const claim::OutcomeEntry& outcome) const {
+    net::Response response =
+        net::MakeResponse(outcome.status, outcome.body, outcome.content_type);
+    response.set(kVerdictHeader, std::string(ToString(Verdict::kRan)));
+    response.set("Beryllane-Replayed", "1");
+    return {std::move(response), {}};
+  }
+
+  // Records what became of a won attempt. A withdrawal frees the key; an
+  // unknown outcome keeps it taken for good.
+  void Settle(const claim::ClaimEntry& entry, const CallEnd& end) {
+    const bool is_not_run =
+        !end.answer && end.error.verdict == Verdict::kNotRun;
+    if (is_not_run) {
+      Post(claim::VoidEntry{entry.key, entry.id});
+      return;
+    }
+    claim::OutcomeEntry outcome;
+    outcome.key = entry.key;
+    outcome.id = entry.id;
+    if (end.answer && end.answer->body().size() <= kMaxKeptBody) {
+      outcome.status = static_cast<int>(end.answer->result_int());
+      outcome.content_type = net::Header(*end.answer, "Content-Type");
+      outcome.body = end.answer->body();
+    }
+    Post(std::move(outcome));
+  }
+
+  void Post(claim::Entry entry) {
+    net::asio::co_spawn(node_.control(),
+                        node_.claims().Update(std::move(entry)),
+                        net::asio::detached);
+  }
+
+  // Tries targets until one takes the first byte; never again after it.
+  awaitable<CallEnd> SendUntilWritten() {
+    const int max_attempts = context_.state->config->defaults.max_attempts;
+    CallEnd end;
+    for (int attempt = 1; attempt <= max_attempts; ++attempt) {
+      end = co_await SendOnce(/*needs_new_connection=*/true);
+      const bool may_try_again = !end.answer &&
+                                 end.error.verdict == Verdict::kNotRun &&
+                                 end.error.id != ErrorId::kNoTarget &&
+                                 context_.TimeLeft() > nanoseconds(0);
+      if (!may_try_again) break;
+    }
+    BERYLLANE_INVARIANT("claimed-call-written-once", writes_ <= 1);
+    co_return end;
+  }
+
+  // Repeats an idempotent call, or one whose key the service checks.
+  awaitable<CallEnd> SendWithRetries() {
+    const config::Defaults& defaults = context_.state->config->defaults;
+    node_.retry_budget().Credit(defaults.retry_budget);
+    CallEnd end;
+    for (int attempt = 1;; ++attempt) {
+      end = co_await SendOnce(/*needs_new_connection=*/false);
+      const bool is_over = end.answer || attempt >= defaults.max_attempts ||
+                           end.error.id == ErrorId::kNoTarget ||
+                           context_.TimeLeft() <= nanoseconds(0);
+      if (is_over || !node_.retry_budget().TryTake()) break;
+      metrics_.retries.Add();
+    }
+    co_return end;
+  }
+
+  awaitable<CallEnd> SendOnce(bool needs_new_connection) {
+    const router::PoolTargets& targets = context_.state->pools.at(call_.pool);
+    const auto pick = placement::PickLeastOfTwo(
+        targets.view, telemetry::RandomId(), excluded_, RuntimeClock::now());
+    if (!pick) {
+      if (!excluded_.empty()) co_return last_failure_;
+      co_return Failure(ErrorId::kNoTarget,
+                        fmt::format("pool {} has no target", call_.pool),
+                        Verdict::kNotRun);
+    }
+    const placement::Member& member = targets.view.members[*pick];
+    metrics_.attempts.Add();
+    const TraceContext trace = telemetry::Tracer::Child(context_.trace);
+    const auto start = RuntimeClock::now();
+    net::CallOptions options;
+    options.connect_timeout = context_.state->config->defaults.connect_timeout;
+    options.answer_timeout = context_.TimeLeft();
+    options.needs_new_connection = needs_new_connection;
+    net::Request request = MakeTargetRequest(trace);
+    auto result =
+        co_await node_.loop(exchange_.loop())
+            .client.Call(targets.addresses[*pick], std::move(request), options);
+    CallEnd end = Judge(std::move(result), member);
+    Span span{trace, "target", start, RuntimeClock::now(), !end.answer, {}};
+    span.attributes.emplace_back("target", member.id);
+    node_.tracer().Finish(std::move(span));
+    if (!end.answer) {
+      excluded_.push_back(targets.view.ids[*pick]);
+      last_failure_ = end;
+    }
+    co_return end;
+  }
+
+  net::Request MakeTargetRequest(const TraceContext& trace) const {
+    const net::Request& received = exchange_.request();
+    net::Request request =
+        net::MakeRequest(received.method(), call_.path, body_,
+                         net::Header(received, "Content-Type"));
+    request.set(kRequestIdHeader, context_.id);
+    request.set("traceparent", telemetry::ToTraceparent(trace));
+    request.set("Beryllane-Account", context_.account);
+    if (!call_.key.empty()) request.set(kKeyHeader, call_.key);
+    const std::string_view accept = net::Header(received, "Accept");
+    if (!accept.empty()) request.set("Accept", std::string(accept));
+    return request;
+  }
+
+  CallEnd Judge(Result<net::Response> result, const placement::Member& member) {
+    if (!result.ok()) {
+      Error error = result.error();
+      error.message = member.id + ": " + error.message;
+      if (error.verdict != Verdict::kNotRun) ++writes_;
+      member.load->Suspect(RuntimeClock::now() + router::kSuspicion);
+      return {std::nullopt, std::move(error)};
+    }
+    member.load->Trust();
+    net::Response& answer = result.value();
+    // The service itself proves that it did not act.
+    const bool is_refusal = answer.result_int() >= kServerErrors &&
+                            net::Header(answer, "Service-Not-Run") == "1";
+    if (is_refusal) {
+      return Failure(ErrorId::kTargetFailed,
+                     fmt::format("{} refused the call with status {}",
+                                 member.id, answer.result_int()),
+                     Verdict::kNotRun);
+    }
+    ++writes_;
+    net::Response out = net::MakeResponse(static_cast<int>(answer.result_int()),
+                                          std::move(answer.body()),
+                                          net::Header(answer, "Content-Type"));
+    out.set(kVerdictHeader, std::string(ToString(Verdict::kRan)));
+    out.set(kTargetHeader, member.id);
+    return {std::move(out), {}};
+  }
+
+  static CallEnd Failure(ErrorId id, std::string message, Verdict verdict) {
+    return {std::nullopt, Error{id, std::move(message), verdict}};
+  }
+
+  net::Exchange& exchange_;
+  router::Node& node_;
+  RequestMetrics& metrics_;
+  const RequestContext& context_;
+  ServiceCall call_;
+  std::string body_;
+  std::vector<std::uint64_t> excluded_;
+  CallEnd last_failure_;
+  // Attempts of which the target may have acted on.
+  int writes_ = 0;
+};
+
+}  // namespace
+
+ServiceHandler::ServiceHandler(router::Node& node, RequestMetrics& metrics)
+    : node_(node), metrics_(metrics) {}
+
+awaitable<void> ServiceHandler::Handle(net::Exchange& exchange) {
+  metrics_.service_calls.Add();
+  auto context = Establish(exchange, node_);
+  if (!context.ok()) {
+    metrics_.CountError(context.error());
+    net::Response answer = ErrorAnswer(context.error());
+    co_await exchange.Respond(std::move(answer));
+    co_return;
+  }
+  auto call =
+      CheckServiceCall(exchange, context.value(), node_.claims().bounds());
+  if (!call.ok()) {
+    metrics_.CountError(call.error());
+    net::Response answer = ErrorAnswer(call.error());
+    co_await exchange.Respond(std::move(answer));
+    co_return;
+  }
+  // A caller that goes does not stop the call: its outcome is still recorded.
+  ServiceRun run(exchange, node_, metrics_, context.value(),
+                 std::move(call.value()));
+  co_await run.Run();
+  Span span{context.value().trace, "edge", exchange.started(),
+            RuntimeClock::now(),   false,  {}};
+  span.attributes.emplace_back("request", context.value().id);
+  span.attributes.emplace_back("account", context.value().account);
+  node_.tracer().Finish(std::move(span));
+}
+
+}  // namespace beryllane::caller
--- /dev/null
+++ b/src/coordination/runtime_clock.cc
@@ -0,0 +1,87 @@
+#include "beryllane/clock/runtime_clock.h"
+
+#include <algorithm>
+#include <atomic>
+#include <mutex>
+
+namespace beryllane {
+namespace {
+
+using std::chrono::nanoseconds;
+
+constexpr nanoseconds kPausedPoll = std::chrono::milliseconds(1);
+
+// now() is the steady clock plus an offset, or the frozen reading.
+struct State {
+  std::mutex mutex;
+  std::atomic<bool> paused{false};
+  std::atomic<nanoseconds::rep> frozen{0};
+  std::atomic<nanoseconds::rep> offset{0};
+};
+
+State& GetState() {
+  static State state;
+  return state;
+}
+
+nanoseconds SteadyNow() {
+  return std::chrono::steady_clock::now().time_since_epoch();
+}
+
+}  // namespace
+
+RuntimeClock::time_point RuntimeClock::now() {
+  State& state = GetState();
+  if (state.paused.load(std::memory_order_acquire)) {
+    return time_point(nanoseconds(state.frozen.load()));
+  }
+  return time_point(SteadyNow() + nanoseconds(state.offset.load()));
+}
+
+WallTime RuntimeClock::WallNow() {
+  const nanoseconds shift = now().time_since_epoch() - SteadyNow();
+  return std::chrono::time_point_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now() +
+      std::chrono::duration_cast<std::chrono::system_clock::duration>(shift));
+}
+
+void RuntimeClock::Pause() {
+  State& state = GetState();
+  const std::lock_guard lock(state.mutex);
+  if (state.paused.load()) return;
+  state.frozen.store((SteadyNow() + nanoseconds(state.offset.load())).count());
+  state.paused.store(true, std::memory_order_release);
+}
+
+void RuntimeClock::Resume() {
+  State& state = GetState();
+  const std::lock_guard lock(state.mutex);
+  if (!state.paused.load()) return;
+  state.offset.store(state.frozen.load() - SteadyNow().count());
+  state.paused.store(false, std::memory_order_release);
+}
+
+void RuntimeClock::Advance(nanoseconds step) {
+  State& state = GetState();
+  const std::lock_guard lock(state.mutex);
+  if (state.paused.load()) {
+    state.frozen.fetch_add(step.count());
+  } else {
+    state.offset.fetch_add(step.count());
+  }
+}
+
+bool RuntimeClock::IsPaused() { return GetState().paused.load(); }
+
+RuntimeClock::duration RuntimeWaitTraits::to_wait_duration(
+    const RuntimeClock::duration& remaining) {
+  if (!RuntimeClock::IsPaused()) return remaining;
+  return std::min(remaining, kPausedPoll);
+}
+
+RuntimeClock::duration RuntimeWaitTraits::to_wait_duration(
+    const RuntimeClock::time_point& deadline) {
+  return to_wait_duration(deadline - RuntimeClock::now());
+}
+
+}  // namespace beryllane
--- /dev/null
+++ b/src/net/http_client.h
@@ -0,0 +1,105 @@
+/// @file
+/// An HTTP/1.1 client with pooled connections that knows how far an exchange
+/// got when it failed.
+#ifndef BERYLLANE_SRC_NET_HTTP_CLIENT_H_
+#define BERYLLANE_SRC_NET_HTTP_CLIENT_H_
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <chrono>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "beryllane/error/error.h"
+#include "src/net/address.h"
+#include "src/net/http_types.h"
+#include "src/net/runtime.h"
+
+namespace beryllane::net {
+
+/// Times and reuse of one call.
+struct CallOptions {
+  std::chrono::nanoseconds connect_timeout = std::chrono::seconds(1);
+  /// Longest wait for the head of the answer after the request was written,
+  /// and for each further part of the body.
+  std::chrono::nanoseconds answer_timeout = std::chrono::seconds(10);
+  /// A new connection leaves no doubt about whether bytes went out, because
+  /// no earlier use can have closed it.
+  bool needs_new_connection = false;
+  std::size_t body_limit = 64 * 1024 * 1024;
+};
+
+class HttpClient;
+
+/// An answer that is being received. Destroying it before the end closes the
+/// connection, which cancels the work at the other end.
+class AnswerStream {
+ public:
+  ~AnswerStream();
+  AnswerStream(const AnswerStream&) = delete;
+  AnswerStream& operator=(const AnswerStream&) = delete;
+
+  /// Status and headers. @pre none. Not thread-safe.
+  const http::response_header<>& head() const { return parser_->get().base(); }
+  /// Status code of the answer. @pre none.
+  int status() const { return static_cast<int>(parser_->get().result_int()); }
+  /// Reads the next bytes of the body; an empty string is its end. @pre not
+  /// at the end.
+  asio::awaitable<Result<std::string>> Read();
+  /// Replaces the longest wait for the next bytes. @pre none.
+  void set_answer_timeout(std::chrono::nanoseconds timeout) {
+    options_.answer_timeout = timeout;
+  }
+
+ private:
+  friend class HttpClient;
+  struct Connection;
+
+  AnswerStream(std::unique_ptr<Connection> connection, HttpClient& client,
+               CallOptions options);
+
+  std::unique_ptr<Connection> connection_;
+  HttpClient& client_;
+  CallOptions options_;
+  std::unique_ptr<http::response_parser<http::string_body>> parser_;
+};
+
+/// Calls HTTP servers. Used by the coroutines of one event loop.
+class HttpClient {
+ public:
+  /// Idle connections kept for each address.
+  static constexpr std::size_t kMaxIdle = 64;
+
+  /// @pre `context` runs on one thread and outlives the client.
+  explicit HttpClient(asio::io_context& context);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  /// Sends a request and reads the whole answer. An error's verdict says
+  /// whether the other end may have acted. @pre called on the client's loop.
+  asio::awaitable<Result<Response>> Call(Address address, Request request,
+                                         CallOptions options);
+  /// Sends a request and reads the answer's head. @pre as for `Call`.
+  asio::awaitable<Result<std::unique_ptr<AnswerStream>>> Open(
+      Address address, Request request, CallOptions options);
+
+ private:
+  friend class AnswerStream;
+  using Connection = AnswerStream::Connection;
+
+  asio::awaitable<Result<std::unique_ptr<Connection>>> Connect(
+      const Address& address, std::chrono::nanoseconds timeout);
+  std::unique_ptr<Connection> TakeIdle(const Address& address);
+  void PutIdle(std::unique_ptr<Connection> connection);
+
+  asio::io_context& context_;
+  std::map<Address, std::deque<std::unique_ptr<Connection>>> idle_;
+};
+
+}  // namespace beryllane::net
+
+#endif  // BERYLLANE_SRC_NET_HTTP_CLIENT_H_
--- /dev/null
+++ b/src/net/http_server.cc
@@ -0,0 +1,350 @@
+#include "src/net/http_server.h"
+
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+#include <tuple>
+#include <utility>
+
+#include "fmt/format.h"
+#include "src/net/watchdog.h"
+
+namespace beryllane::net {
+namespace {
+
+using std::chrono::nanoseconds;
+using RequestParser = http::request_parser<http::string_body>;
+using IoResult = std::tuple<error_code, std::size_t>;
+
+constexpr std::size_t kReadBuffer = 16 * 1024;
+
+// Maps a read failure to the error that the peer sees; `nullopt` where the
+// peer is gone and nothing can be sent.
+std::optional<Error> ToError(const error_code& code,
+                             const ServerLimits& limits) {
+  if (code == http::error::header_limit ||
+      code == http::error::buffer_overflow) {
+    return Error{ErrorId::kHeadTooLarge,
+                 fmt::format("the head is over {} bytes", limits.head_bytes),
+                 Verdict::kNotRun};
+  }
+  if (code == http::error::body_limit) {
+    return Error{ErrorId::kBodyTooLarge,
+                 fmt::format("the body is over {} bytes", limits.body_bytes),
+                 Verdict::kNotRun};
+  }
+  if (code == http::error::end_of_stream || code == asio::error::eof ||
+      code == http::error::partial_message) {
+    return std::nullopt;
+  }
+  if (code.category() == error_code(http::error::bad_value).category()) {
+    return Error{ErrorId::kMalformedHttp,
+                 "the request is not valid HTTP/1.1: " + code.message(),
+                 Verdict::kNotRun};
+  }
+  return std::nullopt;
+}
+
+asio::awaitable<IoResult> ReadHead(tcp::socket& socket,
+                                   beast::flat_buffer& buffer,
+                                   RequestParser& parser) {
+  co_return co_await http::async_read_header(socket, buffer, parser, kAsTuple);
+}
+
+asio::awaitable<IoResult> ReadBody(tcp::socket& socket,
+                                   beast::flat_buffer& buffer,
+                                   RequestParser& parser) {
+  co_return co_await http::async_read(socket, buffer, parser, kAsTuple);
+}
+
+asio::awaitable<IoResult> ReadSome(tcp::socket& socket,
+                                   beast::flat_buffer& buffer) {
+  auto space = buffer.prepare(kReadBuffer);
+  auto [code, bytes] = co_await socket.async_read_some(space, kAsTuple);
+  buffer.commit(bytes);
+  co_return IoResult(code, bytes);
+}
+
+}  // namespace
+
+Exchange::Exchange(tcp::socket& socket, Request request, bool close_after,
+                   const ServerLimits& limits, std::size_t loop)
+    : socket_(socket),
+      request_(std::move(request)),
+      close_after_(close_after),
+      limits_(limits),
+      loop_(loop) {}
+
+std::string Exchange::PeerIp() const {
+  error_code code;
+  const auto endpoint = socket_.remote_endpoint(code);
+  return code ? "" : endpoint.address().to_string();
+}
+
+template <typename Buffers>
+asio::awaitable<bool> Exchange::WriteAll(const Buffers& buffers) {
+  // Most writes fit the socket's buffer, which needs neither a timer nor a
+  // suspension.
+  error_code code;
+  socket_.non_blocking(true, code);
+  const std::size_t total = asio::buffer_size(buffers);
+  std::size_t sent = socket_.write_some(buffers, code);
+  if (code == asio::error::would_block) {
+    code = {};
+    sent = 0;
+  }
+  if (code) co_return false;
+  if (sent == total) co_return true;
+  std::string rest(total, '\0');
+  asio::buffer_copy(asio::buffer(rest), buffers);
+  Watchdog watchdog(socket_);
+  watchdog.Arm(limits_.write_timeout);
+  const auto left = asio::buffer(rest) + sent;
+  const auto [write_code, bytes] =
+      co_await asio::async_write(socket_, left, kAsTuple);
+  co_return !write_code;
+}
+
+asio::awaitable<bool> Exchange::Respond(Response response) {
+  is_started_ = true;
+  response.keep_alive(request_.keep_alive() && !close_after_);
+  response.prepare_payload();
+  if (request_.method() == http::verb::head) response.body().clear();
+  http::response_serializer<http::string_body> serializer(response);
+  error_code code;
+  std::string wire;
+  while (!serializer.is_done() && !code) {
+    serializer.next(code, [&](error_code& /*next*/, const auto& buffers) {
+      for (auto it = asio::buffer_sequence_begin(buffers);
+           it != asio::buffer_sequence_end(buffers); ++it) {
+        const asio::const_buffer part(*it);
+        wire.append(static_cast<const char*>(part.data()), part.size());
+      }
+      serializer.consume(asio::buffer_size(buffers));
+    });
+  }
+  const bool ok = !code && co_await WriteAll(asio::buffer(wire));
+  is_finished_ = ok;
+  co_return ok;
+}
+
+asio::awaitable<bool> Exchange::StartStream(
+    http::response<http::empty_body> head) {
+  is_started_ = true;
+  head.keep_alive(request_.keep_alive() && !close_after_);
+  head.chunked(true);
+  http::response_serializer<http::empty_body> serializer(head);
+  const auto [code, bytes] =
+      co_await http::async_write_header(socket_, serializer, kAsTuple);
+  co_return !code;
+}
+
+asio::awaitable<bool> Exchange::Write(std::string_view data) {
+  if (data.empty()) co_return true;
+  const auto chunk =
+      http::make_chunk(asio::const_buffer(data.data(), data.size()));
+  co_return co_await WriteAll(chunk);
+}
+
+asio::awaitable<bool> Exchange::FinishStream() {
+  const auto last = http::make_chunk_last();
+  const bool ok = co_await WriteAll(last);
+  is_finished_ = ok;
+  co_return ok;
+}
+
+asio::awaitable<void> Exchange::WaitForClose() {
+  const auto [code] =
+      co_await socket_.async_wait(tcp::socket::wait_read, kAsTuple);
+  std::array<char, 1> byte{};
+  error_code peek_code;
+  socket_.non_blocking(true, peek_code);
+  const std::size_t bytes =
+      socket_.receive(asio::buffer(byte), tcp::socket::message_peek, peek_code);
+  const bool has_data = !code && bytes > 0;
+  if (!has_data) co_return;
+  // The caller sent its next request already and is still there.
+  Timer never(socket_.get_executor(), RuntimeClock::duration::max() / 4);
+  co_await never.async_wait(kAsTuple);
+}
+
+struct HttpServer::Session {
+  tcp::socket socket;
+  Shard& shard;
+  beast::flat_buffer buffer;
+};
+
+HttpServer::HttpServer(ContextPool& pool, ServerLimits limits, Handler handler,
+                       RejectionFormatter format_rejection)
+    : pool_(pool),
+      limits_(limits),
+      handler_(std::move(handler)),
+      format_rejection_(std::move(format_rejection)) {
+  for (std::size_t i = 0; i < pool.size(); ++i) {
+    shards_.push_back(std::make_unique<Shard>());
+    shards_.back()->index = i;
+    shards_.back()->context = &pool.at(i);
+  }
+}
+
+HttpServer::~HttpServer() = default;
+
+Result<Address> HttpServer::Listen(const Address& address) {
+  error_code code;
+  const tcp::endpoint endpoint(asio::ip::make_address(address.ip, code),
+                               address.port);
+  acceptor_ = std::make_unique<tcp::acceptor>(pool_.at(0));
+  if (!code) acceptor_->open(endpoint.protocol(), code);
+  if (!code) acceptor_->set_option(tcp::acceptor::reuse_address(true), code);
+  if (!code) acceptor_->bind(endpoint, code);
+  if (!code) acceptor_->listen(asio::socket_base::max_listen_connections, code);
+  if (code) {
+    return Error{ErrorId::kSettingInvalid,
+                 fmt::format("cannot listen on {}: {}", ToString(address),
+                             code.message()),
+                 Verdict::kNotRun};
+  }
+  asio::co_spawn(pool_.at(0), AcceptLoop(), asio::detached);
+  return Address{address.ip, acceptor_->local_endpoint().port()};
+}
+
+void HttpServer::StopAccepting() {
+  CloseAfterResponses();
+  asio::post(pool_.at(0), [this] {
+    error_code ignored;
+    if (acceptor_) acceptor_->close(ignored);
+  });
+}
+
+void HttpServer::CloseIdle() {
+  for (auto& shard : shards_) {
+    asio::post(*shard->context, [&shard = *shard] {
+      for (Session* session : shard.idle) {
+        error_code ignored;
+        session->socket.cancel(ignored);
+      }
+    });
+  }
+}
+
+asio::awaitable<void> HttpServer::AcceptLoop() {
+  constexpr std::chrono::milliseconds kPauseWithoutDescriptors{50};
+  while (acceptor_->is_open()) {
+    Shard& shard = *shards_[next_shard_++ % shards_.size()];
+    auto [code, socket] =
+        co_await acceptor_->async_accept(*shard.context, kAsTuple);
+    if (code) {
+      if (!acceptor_->is_open()) co_return;
+      co_await Sleep(kPauseWithoutDescriptors);
+      continue;
+    }
+    if (connections_.load() >=
+        static_cast<std::int64_t>(limits_.max_connections)) {
+      continue;  // The socket closes; a balancer tries another host.
+    }
+    asio::co_spawn(*shard.context, Serve(std::move(socket), shard),
+                   asio::detached);
+  }
+}
+
+asio::awaitable<void> HttpServer::Serve(tcp::socket socket, Shard& shard) {
+  connections_.fetch_add(1);
+  error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  Session session{std::move(socket), shard, {}};
+  try {
+    while (co_await ServeOne(session)) {
+    }
+  } catch (const std::exception&) {
+    // The connection ends; the handler reported what it knew.
+  }
+  session.socket.shutdown(tcp::socket::shutdown_both, ignored);
+  connections_.fetch_sub(1);
+}
+
+asio::awaitable<bool> HttpServer::ServeOne(Session& session) {
+  if (session.buffer.size() == 0) {
+    if (is_closing_.load()) co_return false;
+    session.shard.idle.insert(&session);
+    const auto first = co_await WithTimeout(
+        limits_.idle_timeout, ReadSome(session.socket, session.buffer));
+    session.shard.idle.erase(&session);
+    if (!first || std::get<0>(*first)) co_return false;
+  }
+  RequestParser parser;
+  parser.header_limit(static_cast<std::uint32_t>(limits_.head_bytes));
+  parser.body_limit(limits_.body_bytes);
+  const auto head = co_await WithTimeout(
+      limits_.head_timeout, ReadHead(session.socket, session.buffer, parser));
+  if (!head) {
+    co_await Reject(session, {ErrorId::kSlowSender,
+                              fmt::format("the head took over {} ms",
+                                          limits_.head_timeout.count()),
+                              Verdict::kNotRun});
+    co_return false;
+  }
+  if (const error_code code = std::get<0>(*head)) {
+    if (const auto error = ToError(code, limits_)) {
+      co_await Reject(session, *error);
+    }
+    co_return false;
+  }
+  if (Header(parser.get(), "Expect") == "100-continue") {
+    constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+    co_await asio::async_write(session.socket, asio::buffer(kContinue),
+                               kAsTuple);
+  }
+  if (!parser.is_done()) {
+    const auto body = co_await WithTimeout(
+        limits_.body_timeout, ReadBody(session.socket, session.buffer, parser));
+    if (!body) {
+      co_await Reject(session, {ErrorId::kSlowSender,
+                                fmt::format("the body took over {} ms",
+                                            limits_.body_timeout.count()),
+                                Verdict::kNotRun});
+      co_return false;
+    }
+    if (const error_code code = std::get<0>(*body)) {
+      if (const auto error = ToError(code, limits_)) {
+        co_await Reject(session, *error);
+      }
+      co_return false;
+    }
+  }
+  running_.fetch_add(1);
+  const std::shared_ptr<void> running_guard(
+      nullptr, [this](void*) { running_.fetch_sub(1); });
+  Exchange exchange(session.socket, parser.release(), is_closing_.load(),
+                    limits_, session.shard.index);
+  co_await handler_(exchange);
+  co_return exchange.is_reusable() && !is_closing_.load();
+}
+
+asio::awaitable<void> HttpServer::Reject(Session& session, Error error) {
+  Exchange exchange(session.socket, Request{}, /*close_after=*/true, limits_,
+                    session.shard.index);
+  co_await exchange.Respond(format_rejection_(error));
+  // Discard what the peer still sends, so that the answer is not lost to a
+  // reset.
+  constexpr std::chrono::milliseconds kLinger{200};
+  constexpr int kMaxReads = 64;
+  error_code ignored;
+  session.socket.shutdown(tcp::socket::shutdown_send, ignored);
+  for (int i = 0; i < kMaxReads; ++i) {
+    session.buffer.clear();
+    const auto read =
+        co_await WithTimeout(kLinger, ReadSome(session.socket, session.buffer));
+    if (!read || std::get<0>(*read)) co_return;
+  }
+}
+
+}  // namespace beryllane::net
--- /dev/null
+++ b/src/net/http_server.h
@@ -0,0 +1,148 @@
+/// @file
+/// An HTTP/1.1 server on Beast with limits against slow and oversized input.
+#ifndef BERYLLANE_SRC_NET_HTTP_SERVER_H_
+#define BERYLLANE_SRC_NET_HTTP_SERVER_H_
+
+#include <atomic>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_set>
+#include <vector>
+
+#include "beryllane/error/error.h"
+#include "src/net/address.h"
+#include "src/net/http_types.h"
+#include "src/net/runtime.h"
+
+namespace beryllane::net {
+
+/// Bounds on what a peer may send and how slowly.
+struct ServerLimits {
+  std::size_t head_bytes = 16 * 1024;
+  std::size_t body_bytes = 8 * 1024 * 1024;
+  std::chrono::milliseconds head_timeout{5000};
+  std::chrono::milliseconds body_timeout{15000};
+  std::chrono::milliseconds idle_timeout{60000};
+  std::chrono::milliseconds write_timeout{15000};
+  std::size_t max_connections = 8192;
+};
+
+/// One request and the means to answer it. Used by one coroutine.
+class Exchange {
+ public:
+  /// @pre `socket` outlives the exchange.
+  Exchange(tcp::socket& socket, Request request, bool close_after,
+           const ServerLimits& limits, std::size_t loop);
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+
+  /// The request. @pre none. Not thread-safe.
+  const Request& request() const { return request_; }
+  /// Takes the body out of the request. @pre none. Not thread-safe.
+  std::string TakeBody() { return std::move(request_.body()); }
+  /// Index of the loop that serves the connection. @pre none.
+  std::size_t loop() const { return loop_; }
+  /// When the head had been read. @pre none.
+  RuntimeClock::time_point started() const { return started_; }
+  /// The caller's address. @pre none.
+  std::string PeerIp() const;
+
+  /// Sends a whole response; false if the caller is gone. @pre nothing was
+  /// sent before.
+  asio::awaitable<bool> Respond(Response response);
+  /// Sends the head of a chunked response; false if the caller is gone. @pre
+  /// nothing was sent before.
+  asio::awaitable<bool> StartStream(http::response<http::empty_body> head);
+  /// Sends one chunk; false if the caller is gone or reads too slowly. @pre
+  /// `StartStream` returned true.
+  asio::awaitable<bool> Write(std::string_view data);
+  /// Ends a chunked response. @pre `StartStream` returned true.
+  asio::awaitable<bool> FinishStream();
+  /// Completes when the caller closes its connection. @pre none.
+  asio::awaitable<void> WaitForClose();
+  /// Closes the connection after this exchange. @pre none.
+  void CloseAfter() { close_after_ = true; }
+
+  /// Whether anything was sent. @pre none.
+  bool is_started() const { return is_started_; }
+  /// Whether the response is complete and the connection may go on.
+  bool is_reusable() const {
+    return is_finished_ && !close_after_ && request_.keep_alive();
+  }
+
+ private:
+  template <typename Buffers>
+  asio::awaitable<bool> WriteAll(const Buffers& buffers);
+
+  tcp::socket& socket_;
+  Request request_;
+  bool close_after_;
+  ServerLimits limits_;
+  std::size_t loop_;
+  RuntimeClock::time_point started_ = RuntimeClock::now();
+  bool is_started_ = false;
+  bool is_finished_ = false;
+};
+
+/// Answers one request.
+using Handler = std::function<asio::awaitable<void>(Exchange&)>;
+
+/// Makes the response to input that never became a request.
+using RejectionFormatter = std::function<Response(const Error&)>;
+
+/// Accepts connections and spreads them over a `ContextPool`.
+class HttpServer {
+ public:
+  /// @pre `pool` outlives the server's connections. Handlers run on the loops
+  /// of `pool` and may be called by several threads at once.
+  HttpServer(ContextPool& pool, ServerLimits limits, Handler handler,
+             RejectionFormatter format_rejection);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  /// Binds and starts to accept; returns the address with the port chosen. On
+  /// failure the error names the address. @pre called once.
+  Result<Address> Listen(const Address& address);
+  /// Stops accepting; running exchanges go on and close their connections.
+  /// @pre none. Thread-safe.
+  void StopAccepting();
+  /// Answers from now on close their connections. @pre none. Thread-safe.
+  void CloseAfterResponses() { is_closing_.store(true); }
+  /// Closes connections that wait for a request. @pre none. Thread-safe.
+  void CloseIdle();
+  /// Exchanges being answered. @pre none. Thread-safe.
+  std::int64_t running() const { return running_.load(); }
+
+ private:
+  struct Session;
+  struct Shard {
+    std::size_t index = 0;
+    asio::io_context* context = nullptr;
+    std::unordered_set<Session*> idle;
+  };
+
+  asio::awaitable<void> AcceptLoop();
+  asio::awaitable<void> Serve(tcp::socket socket, Shard& shard);
+  asio::awaitable<bool> ServeOne(Session& session);
+  asio::awaitable<void> Reject(Session& session, Error error);
+
+  ContextPool& pool_;
+  ServerLimits limits_;
+  Handler handler_;
+  RejectionFormatter format_rejection_;
+  std::vector<std::unique_ptr<Shard>> shards_;
+  std::unique_ptr<tcp::acceptor> acceptor_;
+  std::atomic<std::int64_t> connections_{0};
+  std::atomic<std::int64_t> running_{0};
+  std::atomic<bool> is_closing_{false};
+  std::size_t next_shard_ = 0;
+};
+
+}  // namespace beryllane::net
+
+#endif  // BERYLLANE_SRC_NET_HTTP_SERVER_H_
--- /dev/null
+++ b/src/platform/host_list.cc
@@ -0,0 +1,99 @@
+#include "src/platform/host_list.h"
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+namespace beryllane::platform {
+namespace {
+
+using nlohmann::json;
+
+std::optional<HostRole> ParseRole(const std::string& text) {
+  if (text == "router") return HostRole::kRouter;
+  if (text == "runner") return HostRole::kRunner;
+  if (text == "service") return HostRole::kService;
+  return std::nullopt;
+}
+
+const char* RoleName(HostRole role) {
+  switch (role) {
+    case HostRole::kRouter:
+      return "router";
+    case HostRole::kRunner:
+      return "runner";
+    case HostRole::kService:
+      return "service";
+  }
+  return "runner";
+}
+
+std::string Field(const json& entry, const char* name) {
+  const auto it = entry.find(name);
+  if (it == entry.end() || !it->is_string()) return "";
+  return it->get<std::string>();
+}
+
+std::optional<Host> ParseHost(const json& entry) {
+  if (!entry.is_object()) return std::nullopt;
+  const auto role = ParseRole(Field(entry, "role"));
+  const auto address = net::ParseAddress(Field(entry, "address"));
+  if (!role || !address || Field(entry, "id").empty()) return std::nullopt;
+  return Host{Field(entry, "id"),
+              *role,
+              Field(entry, "pool"),
+              Field(entry, "zone"),
+              *address,
+              Field(entry, "peer_address"),
+              Field(entry, "state") == "leaving"};
+}
+
+Error Unavailable(std::string message) {
+  return {ErrorId::kHostListUnavailable, std::move(message), Verdict::kNotRun};
+}
+
+}  // namespace
+
+Result<std::vector<Host>> ParseHosts(const std::string& body) {
+  const json answer = json::parse(body, nullptr, false);
+  if (!answer.is_object() || !answer.contains("hosts")) {
+    return Unavailable("the host list's answer has no hosts");
+  }
+  std::vector<Host> hosts;
+  for (const json& entry : answer["hosts"]) {
+    if (auto host = ParseHost(entry)) hosts.push_back(std::move(*host));
+  }
+  return hosts;
+}
+
+std::string HostsText(const std::vector<Host>& hosts) {
+  json list = json::array();
+  for (const Host& host : hosts) {
+    list.push_back({{"id", host.id},
+                    {"role", RoleName(host.role)},
+                    {"pool", host.pool},
+                    {"zone", host.zone},
+                    {"address", net::ToString(host.address)},
+                    {"peer_address", host.peer_address},
+                    {"state", host.is_leaving ? "leaving" : "live"}});
+  }
+  return json{{"hosts", list}}.dump();
+}
+
+net::asio::awaitable<Result<std::vector<Host>>> FetchHosts(
+    net::HttpClient& client, net::Address address) {
+  net::Request request = net::MakeRequest(net::http::verb::get, "/v1/hosts");
+  net::CallOptions options;
+  options.answer_timeout = std::chrono::seconds(2);
+  auto answer =
+      co_await client.Call(std::move(address), std::move(request), options);
+  if (!answer.ok()) co_return Unavailable(answer.error().message);
+  const int status = static_cast<int>(answer.value().result_int());
+  if (status != 200) {
+    co_return Unavailable("the host list answered with status " +
+                          std::to_string(status));
+  }
+  co_return ParseHosts(answer.value().body());
+}
+
+}  // namespace beryllane::platform
--- /dev/null
+++ b/src/router/claim_gateway.cc
@@ -0,0 +1,203 @@
+#include "src/router/claim_gateway.h"
+
+#include <algorithm>
+#include <boost/asio/async_result.hpp>
+#include <utility>
+
+#include "beryllane/placement/rendezvous.h"
+#include "src/telemetry/trace.h"
+
+namespace beryllane::router {
+namespace {
+
+using claim::ClaimAnswer;
+using claim::ClaimEntry;
+using claim::ClaimOptions;
+using net::asio::awaitable;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTickEvery{20};
+constexpr milliseconds kUpdateTimeout{1000};
+// Left for a second attempt here when the owner does not answer.
+constexpr int kOwnerShare = 2;
+
+// A key is refused once a quarter of the retention has passed since it was
+// issued; the rest covers clock error, paused processes and replay.
+ClaimOptions OptionsFor(milliseconds retention) {
+  constexpr int kAgeShare = 4;
+  ClaimOptions options;
+  options.bounds.max_age = retention / kAgeShare;
+  options.bounds.max_skew =
+      std::min<milliseconds>(options.bounds.max_skew, retention / kAgeShare);
+  options.memory =
+      options.bounds.max_age + options.bounds.max_skew + retention / kAgeShare;
+  return options;
+}
+
+}  // namespace
+
+ClaimGateway::ClaimGateway(net::HttpClient& client, net::asio::io_context& loop,
+                           const Settings& settings, const Directory& directory,
+                           wire::PeerClient& peers, MetricRegistry& metrics)
+    : client_(client),
+      loop_(loop),
+      log_service_(settings.log_service),
+      host_id_(settings.host_id),
+      directory_(directory),
+      peers_(peers),
+      metrics_(metrics),
+      options_(OptionsFor(settings.log_retention)),
+      local_claims_(metrics.GetCounter("beryllane_claims_total",
+                                       "Claims by where they were served",
+                                       {{"served", "here"}})),
+      remote_claims_(metrics.GetCounter("beryllane_claims_total",
+                                        "Claims by where they were served",
+                                        {{"served", "peer"}})),
+      peer_failures_(metrics.GetCounter(
+          "beryllane_claim_peer_failures_total",
+          "Claims that the partition's router did not answer")) {
+  metrics_.AddComputed("beryllane_claim_keys", "Keys held by partitions here",
+                       [this] {
+                         std::size_t keys = 0;
+                         for (const Local& local : locals_) {
+                           if (local.partition) keys += local.partition->size();
+                         }
+                         return static_cast<double>(keys);
+                       });
+}
+
+Hash128 NewAttemptId() {
+  return {telemetry::RandomId(), telemetry::RandomId()};
+}
+
+claim::ClaimPartition& ClaimGateway::Partition(std::uint32_t index) {
+  Local& local = locals_[index];
+  if (!local.partition) {
+    local.stream = std::make_unique<platform::HttpLogStream>(
+        client_, loop_, log_service_, "claims-" + std::to_string(index),
+        metrics_, platform::LogClientOptions{});
+    local.partition =
+        std::make_unique<claim::ClaimPartition>(*local.stream, options_);
+  }
+  return *local.partition;
+}
+
+std::string ClaimGateway::OwnerAddress(std::uint32_t index) const {
+  const auto state = directory_.cell().Load();
+  const Hash128 key = HashBytes("claims-" + std::to_string(index));
+  const Peer* owner = nullptr;
+  std::uint64_t best = 0;
+  for (const Peer& router : state->routers) {
+    const std::uint64_t score = placement::Score(key, router.hash);
+    if (owner != nullptr && score <= best) continue;
+    owner = &router;
+    best = score;
+  }
+  if (owner == nullptr || owner->id == host_id_) return "";
+  return owner->address;
+}
+
+awaitable<ClaimGateway::Claimed> ClaimGateway::Claim(ClaimEntry entry,
+                                                     milliseconds time_left) {
+  const std::uint32_t partition = PartitionOf(entry.key);
+  const auto deadline = RuntimeClock::now() + time_left;
+  const std::string owner = OwnerAddress(partition);
+  if (owner.empty()) {
+    local_claims_.Add();
+    ClaimAnswer answer = co_await ClaimLocally(entry, deadline);
+    co_return Claimed{std::move(answer), entry.id};
+  }
+  remote_claims_.Add();
+  const milliseconds patience = time_left / kOwnerShare;
+  wire::ClaimRequest request;
+  request.partition = partition;
+  request.entry = entry;
+  request.time_left = patience;
+  const auto reply =
+      co_await peers_.Call(owner, wire::Encode(request), patience);
+  if (reply.ok()) {
+    auto answer = wire::DecodeClaimAnswer(reply.value());
+    if (answer) co_return Claimed{std::move(*answer), entry.id};
+  }
+  peer_failures_.Add();
+  // The owner may have claimed the key under this attempt's id and may
+  // withdraw it at any time. This attempt sends nothing under that id: it
+  // withdraws the id and claims under a new one, in this order in the log.
+  ApplyLocally(claim::VoidEntry{entry.key, entry.id});
+  entry.id = NewAttemptId();
+  ClaimAnswer answer = co_await ClaimLocally(entry, deadline);
+  co_return Claimed{std::move(answer), entry.id};
+}
+
+awaitable<ClaimAnswer> ClaimGateway::ClaimLocally(
+    ClaimEntry entry, RuntimeClock::time_point deadline) {
+  auto initiate = [this, entry, deadline](auto handler) {
+    auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+    Partition(PartitionOf(entry.key))
+        .Claim(entry, deadline,
+               [shared](ClaimAnswer answer) { (*shared)(std::move(answer)); });
+  };
+  auto answer =
+      co_await net::asio::async_initiate<decltype(net::asio::use_awaitable),
+                                         void(ClaimAnswer)>(
+          std::move(initiate), net::asio::use_awaitable);
+  co_return answer;
+}
+
+awaitable<void> ClaimGateway::Update(claim::Entry entry) {
+  const Hash128 key = std::visit([](const auto& e) { return e.key; }, entry);
+  const std::string owner = OwnerAddress(PartitionOf(key));
+  if (!owner.empty()) {
+    const wire::PeerRequest request =
+        wire::ClaimUpdate{PartitionOf(key), entry};
+    const auto reply =
+        co_await peers_.Call(owner, wire::Encode(request), kUpdateTimeout);
+    if (reply.ok()) co_return;
+    peer_failures_.Add();
+  }
+  ApplyLocally(std::move(entry));
+}
+
+void ClaimGateway::ApplyLocally(claim::Entry entry) {
+  const Hash128 key = std::visit([](const auto& e) { return e.key; }, entry);
+  claim::ClaimPartition& partition = Partition(PartitionOf(key));
+  if (auto* outcome = std::get_if<claim::OutcomeEntry>(&entry)) {
+    partition.RecordOutcome(std::move(*outcome));
+  } else if (const auto* withdrawn = std::get_if<claim::VoidEntry>(&entry)) {
+    partition.Withdraw(withdrawn->key, withdrawn->id);
+  }
+}
+
+void ClaimGateway::ServeClaim(const wire::ClaimRequest& request,
+                              wire::ReplyFunction reply) {
+  // A partition that another hash of the fleet chose is served all the same.
+  const auto deadline = RuntimeClock::now() + request.time_left;
+  Partition(PartitionOf(request.entry.key))
+      .Claim(request.entry, deadline,
+             [reply = std::move(reply)](const ClaimAnswer& answer) {
+               reply(wire::Encode(answer));
+             });
+}
+
+void ClaimGateway::ServeUpdate(const wire::ClaimUpdate& update,
+                               wire::ReplyFunction reply) {
+  ApplyLocally(update.entry);
+  reply("ok");
+}
+
+awaitable<void> ClaimGateway::Run() {
+  for (;;) {
+    co_await net::Sleep(kTickEvery);
+    for (Local& local : locals_) {
+      if (local.partition) local.partition->Tick();
+    }
+  }
+}
+
+bool ClaimGateway::is_idle() const {
+  return std::all_of(locals_.begin(), locals_.end(), [](const Local& local) {
+    return !local.partition || local.partition->is_idle();
+  });
+}
+
+}  // namespace beryllane::router
--- /dev/null
+++ b/src/router/claim_gateway.h
@@ -0,0 +1,91 @@
+/// @file
+/// Claims keys through the router that serves their partition.
+#ifndef BERYLLANE_SRC_ROUTER_CLAIM_GATEWAY_H_
+#define BERYLLANE_SRC_ROUTER_CLAIM_GATEWAY_H_
+
+#include <array>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "beryllane/claim/claim_partition.h"
+#include "src/platform/log_client.h"
+#include "src/router/directory.h"
+#include "src/wire/messages.h"
+#include "src/wire/peer_link.h"
+
+namespace beryllane::router {
+
+/// Streams over which keys are spread. Every router of a fleet must use the
+/// same number, so it is not a setting.
+inline constexpr std::uint32_t kClaimPartitions = 8;
+
+/// The partition of a key. @pre none. Thread-safe.
+inline std::uint32_t PartitionOf(const Hash128& key) {
+  return static_cast<std::uint32_t>(key.high % kClaimPartitions);
+}
+
+/// A unique id for one attempt. @pre none. Thread-safe.
+Hash128 NewAttemptId();
+
+/// Routes claims to partition owners and serves those that this router owns.
+/// Used on the control loop.
+class ClaimGateway {
+ public:
+  /// @pre all references outlive the gateway.
+  ClaimGateway(net::HttpClient& client, net::asio::io_context& loop,
+               const Settings& settings, const Directory& directory,
+               wire::PeerClient& peers, MetricRegistry& metrics);
+
+  /// The answer to a claim and the attempt id that it holds for.
+  struct Claimed {
+    claim::ClaimAnswer answer;
+    Hash128 id;
+  };
+
+  /// Claims a key within `time_left`. @pre on the control loop.
+  net::asio::awaitable<Claimed> Claim(claim::ClaimEntry entry,
+                                      std::chrono::milliseconds time_left);
+  /// Records an outcome or a withdrawal. @pre on the control loop.
+  net::asio::awaitable<void> Update(claim::Entry entry);
+  /// Answers a peer's request. @pre on the control loop.
+  void ServeClaim(const wire::ClaimRequest& request, wire::ReplyFunction reply);
+  /// Takes a peer's update. @pre on the control loop.
+  void ServeUpdate(const wire::ClaimUpdate& update, wire::ReplyFunction reply);
+  /// Drives retries and deadlines for ever. @pre spawned once.
+  net::asio::awaitable<void> Run();
+  /// Whether entries wait for the log. @pre on the control loop.
+  bool is_idle() const;
+  /// The bound on key ages. @pre none. Thread-safe.
+  const claim::ClaimBounds& bounds() const { return options_.bounds; }
+
+ private:
+  struct Local {
+    std::unique_ptr<platform::HttpLogStream> stream;
+    std::unique_ptr<claim::ClaimPartition> partition;
+  };
+
+  claim::ClaimPartition& Partition(std::uint32_t index);
+  // The owner's peer address; empty where this router is the owner.
+  std::string OwnerAddress(std::uint32_t index) const;
+  net::asio::awaitable<claim::ClaimAnswer> ClaimLocally(
+      claim::ClaimEntry entry, RuntimeClock::time_point deadline);
+  void ApplyLocally(claim::Entry entry);
+
+  net::HttpClient& client_;
+  net::asio::io_context& loop_;
+  net::Address log_service_;
+  const std::string host_id_;
+  const Directory& directory_;
+  wire::PeerClient& peers_;
+  MetricRegistry& metrics_;
+  claim::ClaimOptions options_;
+  std::array<Local, kClaimPartitions> locals_;
+  Counter& local_claims_;
+  Counter& remote_claims_;
+  Counter& peer_failures_;
+};
+
+}  // namespace beryllane::router
+
+#endif  // BERYLLANE_SRC_ROUTER_CLAIM_GATEWAY_H_
--- /dev/null
+++ b/src/router/load_poller.cc
@@ -0,0 +1,102 @@
+#include "src/router/load_poller.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+#include "beryllane/hash/hash.h"
+#include "beryllane/placement/rendezvous.h"
+
+namespace beryllane::router {
+namespace {
+
+using net::asio::awaitable;
+using nlohmann::json;
+
+std::uint32_t Unsigned(const json& body, const char* name) {
+  const auto it = body.find(name);
+  if (it == body.end() || !it->is_number()) return 0;
+  const double value = it->get<double>();
+  constexpr double kMax = 4e9;
+  return value > 0 && value < kMax ? static_cast<std::uint32_t>(value) : 0;
+}
+
+std::uint64_t Incarnation(const json& body) {
+  const auto it = body.find("incarnation");
+  if (it == body.end() || !it->is_string()) return 0;
+  const auto& text = it->get_ref<const std::string&>();
+  std::uint64_t value = 0;
+  std::from_chars(text.data(), text.data() + text.size(), value, 16);
+  return value;
+}
+
+}  // namespace
+
+LoadPoller::LoadPoller(net::HttpClient& client, const Settings& settings,
+                       const Directory& directory, MetricRegistry& metrics)
+    : client_(client),
+      host_id_(settings.host_id),
+      directory_(directory),
+      polls_(metrics.GetCounter("beryllane_load_polls_total",
+                                "Load reports asked of runners")),
+      failures_(metrics.GetCounter("beryllane_load_poll_failures_total",
+                                   "Load reports that did not arrive")) {}
+
+awaitable<void> LoadPoller::Run() {
+  for (;;) {
+    co_await PollAll();
+    co_await net::Sleep(kInterval);
+  }
+}
+
+bool LoadPoller::IsMine(const std::string& runner) const {
+  const auto state = directory_.cell().Load();
+  const Hash128 key = HashBytes(runner);
+  const Peer* owner = nullptr;
+  std::uint64_t best = 0;
+  for (const Peer& router : state->routers) {
+    const std::uint64_t score = placement::Score(key, router.hash);
+    if (owner != nullptr && score <= best) continue;
+    owner = &router;
+    best = score;
+  }
+  return owner != nullptr && owner->id == host_id_;
+}
+
+awaitable<void> LoadPoller::PollAll() {
+  const auto executor = co_await net::asio::this_coro::executor;
+  for (const auto& [id, target] : directory_.targets()) {
+    if (target.host.role != platform::HostRole::kRunner) continue;
+    if (!IsMine(id)) continue;
+    net::asio::co_spawn(executor, Poll(target), net::asio::detached);
+  }
+}
+
+awaitable<void> LoadPoller::Poll(Target target) {
+  polls_.Add();
+  net::Request request = net::MakeRequest(net::http::verb::get, "/load");
+  net::CallOptions options;
+  options.connect_timeout = kInterval;
+  options.answer_timeout = kInterval;
+  auto answer =
+      co_await client_.Call(target.host.address, std::move(request), options);
+  if (!answer.ok()) {
+    failures_.Add();
+    target.load->Suspect(RuntimeClock::now() + kSuspicion);
+    co_return;
+  }
+  const json body = json::parse(answer.value().body(), nullptr, false);
+  if (!body.is_object()) co_return;
+  target.load->Trust();
+  const placement::LoadReport report{
+      Unsigned(body, "queued_tokens"), Unsigned(body, "running"),
+      Unsigned(body, "prefill_tokens_per_second"), RuntimeClock::now()};
+  target.load->Report(report);
+  const std::uint64_t incarnation = Incarnation(body);
+  if (incarnation != 0) target.load->set_incarnation(incarnation);
+}
+
+}  // namespace beryllane::router
--- /dev/null
+++ b/src/router/routing_state.h
@@ -0,0 +1,54 @@
+/// @file
+/// What a request needs to know, as one immutable snapshot.
+#ifndef BERYLLANE_SRC_ROUTER_ROUTING_STATE_H_
+#define BERYLLANE_SRC_ROUTER_ROUTING_STATE_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "beryllane/limit/rate_limiter.h"
+#include "beryllane/placement/policy.h"
+#include "src/config/config.h"
+#include "src/net/address.h"
+#include "src/platform/host_list.h"
+
+namespace beryllane::router {
+
+/// The targets of one pool, with addresses in the order of the view.
+struct PoolTargets {
+  placement::PoolView view;
+  std::vector<net::Address> addresses;
+};
+
+/// A router of the fleet.
+struct Peer {
+  std::string id;
+  std::string address;
+  std::uint64_t hash = 0;
+};
+
+/// An account's share of its fleet-wide limit at this router.
+using AccountLimiters = std::map<std::string, std::shared_ptr<RateLimiter>>;
+
+/// One version of everything that routing depends on.
+struct RoutingState {
+  /// Null until a configuration was accepted.
+  std::shared_ptr<const config::Config> config;
+  std::map<std::string, PoolTargets> pools;
+  /// Live routers, this one included, ordered by id.
+  std::vector<Peer> routers;
+  AccountLimiters limiters;
+  bool has_hosts = false;
+  bool is_draining = false;
+
+  /// Whether requests can be served. @pre none. Thread-safe.
+  bool is_ready() const {
+    return config != nullptr && has_hosts && !is_draining;
+  }
+};
+
+}  // namespace beryllane::router
+
+#endif  // BERYLLANE_SRC_ROUTER_ROUTING_STATE_H_
--- /dev/null
+++ b/src/router/state_gossip.cc
@@ -0,0 +1,213 @@
+#include "src/router/state_gossip.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/telemetry/trace.h"
+
+namespace beryllane::router {
+namespace {
+
+using net::asio::awaitable;
+using std::chrono::milliseconds;
+using wire::LoadEntry;
+using wire::StateExchange;
+
+constexpr milliseconds kCallTimeout{800};
+// Encoded size of one load entry, and of an exchange without any.
+constexpr double kLoadEntryBytes = 24;
+constexpr double kExchangeBytes = 120;
+constexpr std::size_t kMaxLoads = 128;
+// Reports older than this are not worth sending.
+constexpr milliseconds kMaxLoadAge{5000};
+// Failed exchanges after which a peer counts as away.
+constexpr int kFailuresUntilAway = 2;
+
+}  // namespace
+
+double ByteBudget::Available(RuntimeClock::time_point now) {
+  constexpr double kMaxSavedSeconds = 2;
+  const double passed = std::chrono::duration<double>(now - updated_).count();
+  updated_ = now;
+  saved_ = std::min(saved_ + passed * rate_, kMaxSavedSeconds * rate_);
+  return saved_;
+}
+
+StateGossip::StateGossip(const Settings& settings, Directory& directory,
+                         ConfigFollower& config, wire::PeerClient& peers,
+                         MetricRegistry& metrics)
+    : settings_(settings),
+      directory_(directory),
+      config_(config),
+      peers_(peers),
+      exchanges_(metrics.GetCounter("beryllane_gossip_exchanges_total",
+                                    "State exchanges started")),
+      exchange_failures_(
+          metrics.GetCounter("beryllane_gossip_failures_total",
+                             "State exchanges that were not answered")) {}
+
+std::vector<Peer> StateGossip::OtherRouters() const {
+  std::vector<Peer> others;
+  for (const Peer& router : directory_.cell().Load()->routers) {
+    if (router.id != settings_.host_id) others.push_back(router);
+  }
+  if (!others.empty()) return others;
+  for (const std::string& address : settings_.peers) {
+    if (address != settings_.peer_listen) others.push_back({"", address, 0});
+  }
+  return others;
+}
+
+awaitable<void> StateGossip::Run() {
+  constexpr milliseconds kStartPause{100};
+  bool has_state = false;
+  for (;;) {
+    co_await net::Sleep(has_state ? kInterval : kStartPause);
+    if (is_leaving_) co_return;
+    if (has_state && budget_.Available(RuntimeClock::now()) < kExchangeBytes) {
+      continue;
+    }
+    const std::vector<Peer> others = OtherRouters();
+    if (others.empty()) continue;
+    const Peer& peer = others[telemetry::RandomId() % others.size()];
+    const bool has_answered = co_await ExchangeWith(peer, !has_state);
+    const bool is_complete =
+        config_.log().has_state() && directory_.has_hosts();
+    if (has_answered || is_complete) has_state = is_complete;
+  }
+}
+
+awaitable<bool> StateGossip::ExchangeWith(const Peer& peer, bool wants_state) {
+  exchanges_.Add();
+  const double available =
+      std::max(0.0, budget_.Available(RuntimeClock::now()) - kExchangeBytes);
+  StateExchange request =
+      MakeExchange(static_cast<std::size_t>(available / kLoadEntryBytes));
+  request.wants_state = wants_state;
+  std::string message = wire::Encode(request);
+  const std::size_t sent = message.size();
+  auto reply =
+      co_await peers_.Call(peer.address, std::move(message), kCallTimeout);
+  budget_.Spend(static_cast<double>(sent));
+  if (!reply.ok()) {
+    exchange_failures_.Add();
+    NoteFailure(peer);
+    co_return false;
+  }
+  if (!wants_state) budget_.Spend(static_cast<double>(reply.value().size()));
+  const auto decoded = wire::DecodeRequest(reply.value());
+  const auto* answer =
+      decoded ? std::get_if<StateExchange>(&*decoded) : nullptr;
+  if (answer == nullptr) co_return false;
+  failures_[peer.id] = 0;
+  peer_seen_at_ = RuntimeClock::now();
+  Absorb(*answer);
+  co_return true;
+}
+
+void StateGossip::NoteFailure(const Peer& peer) {
+  if (peer.id.empty()) return;
+  if (++failures_[peer.id] >= kFailuresUntilAway) {
+    directory_.SetPeerAway(peer.id, true);
+  }
+}
+
+StateExchange StateGossip::MakeExchange(std::size_t max_loads) {
+  StateExchange exchange;
+  exchange.from = settings_.host_id;
+  exchange.config_through = config_.log().through();
+  exchange.config_version = config_.log().version();
+  exchange.is_leaving = is_leaving_;
+  const auto& targets = directory_.targets();
+  if (targets.empty()) return exchange;
+  // Start where the last exchange ended, so that a small budget covers all
+  // targets in turn.
+  const std::size_t wanted = std::min({max_loads, kMaxLoads, targets.size()});
+  auto it = targets.begin();
+  std::advance(it, next_load_ % targets.size());
+  const auto now = RuntimeClock::now();
+  std::size_t seen = 0;
+  while (seen < targets.size() && exchange.loads.size() < wanted) {
+    const auto& [id, target] = *it;
+    if (target.load->IsFresh(now, kMaxLoadAge)) {
+      const placement::LoadReport report = target.load->report();
+      const auto age =
+          std::chrono::duration_cast<milliseconds>(now - report.taken);
+      exchange.loads.push_back(
+          {RunnerHash(id), age, report.queued_tokens, report.running,
+           report.prefill_tokens_per_second, target.load->incarnation()});
+    }
+    ++seen;
+    if (++it == targets.end()) it = targets.begin();
+  }
+  next_load_ += static_cast<std::uint32_t>(seen);
+  return exchange;
+}
+
+StateExchange StateGossip::Serve(const StateExchange& request) {
+  Absorb(request);
+  const double available =
+      std::max(0.0, budget_.Available(RuntimeClock::now()) - kExchangeBytes);
+  StateExchange reply =
+      MakeExchange(static_cast<std::size_t>(available / kLoadEntryBytes));
+  AttachConfig(request, reply);
+  if (request.wants_state) {
+    reply.hosts = hosts_text_;
+  } else {
+    budget_.Spend(kExchangeBytes +
+                  kLoadEntryBytes * static_cast<double>(reply.loads.size()));
+  }
+  return reply;
+}
+
+void StateGossip::AttachConfig(const StateExchange& request,
+                               StateExchange& reply) const {
+  if (!config_.log().has_state()) return;
+  if (request.config_through >= config_.log().through()) return;
+  auto records = config_.RecordsFrom(request.config_through);
+  if (records && !request.wants_state) {
+    reply.records = std::move(*records);
+  } else {
+    reply.checkpoint = config_.log().MakeCheckpoint();
+  }
+}
+
+void StateGossip::Absorb(const StateExchange& message) {
+  if (!message.from.empty()) {
+    directory_.SetPeerAway(message.from, message.is_leaving);
+  }
+  AbsorbLoads(message.loads);
+  if (message.checkpoint) config_.InstallRelayed(*message.checkpoint);
+  config_.ApplyRelayed(message.records);
+  if (message.config_through <= config_.log().through()) config_.Confirm();
+  if (!message.hosts.empty() && !directory_.has_hosts()) {
+    auto hosts = platform::ParseHosts(message.hosts);
+    if (hosts.ok()) directory_.SetHosts(std::move(hosts.value()));
+  }
+}
+
+void StateGossip::AbsorbLoads(const std::vector<LoadEntry>& loads) {
+  const auto now = RuntimeClock::now();
+  for (const LoadEntry& entry : loads) {
+    const Target* target = directory_.FindByHash(entry.runner);
+    if (target == nullptr || entry.age < milliseconds(0)) continue;
+    const placement::LoadReport report{entry.queued_tokens, entry.running,
+                                       entry.prefill_tokens_per_second,
+                                       now - entry.age};
+    if (report.taken <= target->load->report().taken) continue;
+    target->load->Report(report);
+    if (entry.incarnation != 0) {
+      target->load->set_incarnation(entry.incarnation);
+    }
+  }
+}
+
+awaitable<void> StateGossip::AnnounceLeaving() {
+  is_leaving_ = true;
+  for (const Peer& peer : OtherRouters()) {
+    const wire::PeerRequest request = MakeExchange(0);
+    co_await peers_.Call(peer.address, wire::Encode(request), kCallTimeout);
+  }
+}
+
+}  // namespace beryllane::router
--- /dev/null
+++ b/src/router/state_gossip.h
@@ -0,0 +1,88 @@
+/// @file
+/// Push and pull of loads and configuration between routers.
+#ifndef BERYLLANE_SRC_ROUTER_STATE_GOSSIP_H_
+#define BERYLLANE_SRC_ROUTER_STATE_GOSSIP_H_
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "beryllane/metrics/registry.h"
+#include "src/router/config_follower.h"
+#include "src/router/directory.h"
+#include "src/wire/messages.h"
+#include "src/wire/peer_link.h"
+
+namespace beryllane::router {
+
+/// Spends at most a fixed number of bytes per second.
+class ByteBudget {
+ public:
+  /// @pre `bytes_per_second` > 0.
+  explicit ByteBudget(double bytes_per_second)
+      : rate_(bytes_per_second), saved_(bytes_per_second) {}
+
+  /// Bytes that may be spent now. @pre none.
+  double Available(RuntimeClock::time_point now);
+  /// Notes bytes spent; the budget may go below zero. @pre none.
+  void Spend(double bytes) { saved_ -= bytes; }
+
+ private:
+  double rate_;
+  double saved_;
+  RuntimeClock::time_point updated_{};
+};
+
+/// Exchanges state with one random peer at a time. Used on the control loop.
+class StateGossip {
+ public:
+  /// Bytes per second that exchanges may use, sent and received together.
+  static constexpr double kBytesPerSecond = 1500;
+  static constexpr std::chrono::milliseconds kInterval{500};
+
+  /// @pre all references outlive the gossip.
+  StateGossip(const Settings& settings, Directory& directory,
+              ConfigFollower& config, wire::PeerClient& peers,
+              MetricRegistry& metrics);
+
+  /// Asks peers for everything until one answers; then exchanges for ever.
+  /// @pre spawned once.
+  net::asio::awaitable<void> Run();
+  /// Answers a peer's exchange. @pre on the control loop.
+  wire::StateExchange Serve(const wire::StateExchange& request);
+  /// Tells every peer that this router leaves. @pre on the control loop.
+  net::asio::awaitable<void> AnnounceLeaving();
+  /// The host list as the platform last gave it, for starting peers. @pre on
+  /// the control loop.
+  void SetHostsText(std::string text) { hosts_text_ = std::move(text); }
+  /// When a peer last answered. @pre on the control loop.
+  RuntimeClock::time_point peer_seen_at() const { return peer_seen_at_; }
+
+ private:
+  std::vector<Peer> OtherRouters() const;
+  net::asio::awaitable<bool> ExchangeWith(const Peer& peer, bool wants_state);
+  wire::StateExchange MakeExchange(std::size_t max_loads);
+  void Absorb(const wire::StateExchange& message);
+  void AbsorbLoads(const std::vector<wire::LoadEntry>& loads);
+  void AttachConfig(const wire::StateExchange& request,
+                    wire::StateExchange& reply) const;
+  void NoteFailure(const Peer& peer);
+
+  const Settings& settings_;
+  Directory& directory_;
+  ConfigFollower& config_;
+  wire::PeerClient& peers_;
+  ByteBudget budget_{kBytesPerSecond};
+  std::string hosts_text_;
+  std::map<std::string, int> failures_;
+  std::uint32_t next_load_ = 0;
+  bool is_leaving_ = false;
+  RuntimeClock::time_point peer_seen_at_{};
+  Counter& exchanges_;
+  Counter& exchange_failures_;
+};
+
+}  // namespace beryllane::router
+
+#endif  // BERYLLANE_SRC_ROUTER_STATE_GOSSIP_H_
--- /dev/null
+++ b/src/telemetry/log.h
@@ -0,0 +1,46 @@
+/// @file
+/// Log events as JSON lines with stable ids, listed in docs/errors.md.
+#ifndef BERYLLANE_SRC_TELEMETRY_LOG_H_
+#define BERYLLANE_SRC_TELEMETRY_LOG_H_
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+
+namespace beryllane::telemetry {
+
+enum class Level { kDebug, kInfo, kWarning, kError };
+
+/// Ids of log events. Each has an entry in docs/errors.md.
+namespace event {
+inline constexpr std::string_view kStarted = "started";
+inline constexpr std::string_view kReady = "ready";
+inline constexpr std::string_view kNotReady = "not-ready";
+inline constexpr std::string_view kDraining = "draining";
+inline constexpr std::string_view kStopped = "stopped";
+inline constexpr std::string_view kConfigInForce = "config-in-force";
+inline constexpr std::string_view kConfigRejected = "config-rejected";
+inline constexpr std::string_view kConfigUnreadable = "config-unreadable";
+inline constexpr std::string_view kLogDown = "log-down";
+inline constexpr std::string_view kLogUp = "log-up";
+inline constexpr std::string_view kHostListDown = "host-list-down";
+inline constexpr std::string_view kHostListUp = "host-list-up";
+inline constexpr std::string_view kRequestFailed = "request-failed";
+inline constexpr std::string_view kAttemptFailed = "attempt-failed";
+inline constexpr std::string_view kInvariant = "invariant-violated";
+inline constexpr std::string_view kStopForced = "stop-forced";
+}  // namespace event
+
+/// Sets the level (`debug`, `info`, `warning` or `error`) and the fields that
+/// each line carries. @pre called once, before threads log. Returns false for
+/// an unknown level.
+bool InitLog(const std::string& level, const std::string& process,
+             const std::string& host_id);
+
+/// Writes one line to standard error. @pre `fields` is an object.
+/// Thread-safe.
+void Log(Level level, std::string_view event, nlohmann::json fields);
+
+}  // namespace beryllane::telemetry
+
+#endif  // BERYLLANE_SRC_TELEMETRY_LOG_H_
--- /dev/null
+++ b/src/wire/peer_link.h
@@ -0,0 +1,64 @@
+/// @file
+/// Requests and replies between routers over nng.
+#ifndef BERYLLANE_SRC_WIRE_PEER_LINK_H_
+#define BERYLLANE_SRC_WIRE_PEER_LINK_H_
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "beryllane/error/error.h"
+#include "beryllane/metrics/registry.h"
+#include "src/net/runtime.h"
+
+namespace beryllane::wire {
+
+/// Sends a reply; called at most once, from the control loop.
+using ReplyFunction = std::function<void(std::string)>;
+
+/// Serves requests of peers. Handlers run on one event loop.
+class PeerServer {
+ public:
+  using Handler = std::function<void(std::string request, ReplyFunction reply)>;
+
+  /// @pre `loop` and `metrics` outlive the server.
+  PeerServer(net::asio::io_context& loop, MetricRegistry& metrics,
+             Handler handler);
+  ~PeerServer();
+  PeerServer(const PeerServer&) = delete;
+  PeerServer& operator=(const PeerServer&) = delete;
+
+  /// Binds to `ip:port`. @pre called once.
+  Result<Done> Listen(const std::string& address);
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+/// Calls peers. Used on one event loop.
+class PeerClient {
+ public:
+  /// @pre `loop` and `metrics` outlive the client.
+  PeerClient(net::asio::io_context& loop, MetricRegistry& metrics);
+  ~PeerClient();
+  PeerClient(const PeerClient&) = delete;
+  PeerClient& operator=(const PeerClient&) = delete;
+
+  /// Sends `message` to the peer at `ip:port` and waits for its reply. A
+  /// failed call may have reached the peer. @pre on the client's loop.
+  net::asio::awaitable<Result<std::string>> Call(
+      std::string address, std::string message,
+      std::chrono::milliseconds timeout);
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace beryllane::wire
+
+#endif  // BERYLLANE_SRC_WIRE_PEER_LINK_H_
