--- a/src/coordination/policy.cc
+++ b/src/coordination/policy.cc
@@ -64,8 +64,10 @@
   }
 
   double FleetRate(const PrefixLevel& level) const {
-    return rates_.Rate(level.hash, now_) *
-           static_cast<double>(options_.live_routers);
+    // The request is itself an arrival, also where the table has no slot.
+    const double rate = std::max(rates_.Rate(level.hash, now_),
+                                 1.0 / Seconds(RateTable::kTimeConstant));
+    return rate * static_cast<double>(options_.live_routers);
   }
 
   // Home set size: the prefix's own work over the share of one runner that it
