--- a/apps/beryllane_load.cc
+++ b/apps/beryllane_load.cc
@@ -51,7 +51,8 @@
   double sum = 0;
   for (const net::Address& admin : admins) {
     net::Request request = net::MakeRequest(net::http::verb::get, "/metrics");
-    const auto answer = co_await client.Call(admin, std::move(request), {});
+    const auto answer =
+        co_await client.Call(admin, std::move(request), net::CallOptions());
     if (!answer.ok()) continue;
     const std::string& body = answer.value().body();
     const std::size_t at = body.find(kMetric);
@@ -65,9 +66,11 @@
   net::asio::io_context loop(1);
   net::HttpClient client(loop);
   double sum = 0;
-  net::asio::co_spawn(
-      loop, ReadCpuSeconds(client, admins),
-      [&sum](const std::exception_ptr&, double result) { sum = result; });
+  net::asio::co_spawn(loop, ReadCpuSeconds(client, admins),
+                      [&](const std::exception_ptr&, double result) {
+                        sum = result;
+                        loop.stop();
+                      });
   loop.run();
   return sum;
 }
--- a/apps/beryllanectl.cc
+++ b/apps/beryllanectl.cc
@@ -129,9 +129,11 @@
   }
   ctl::Context context(std::move(options));
   int code = ctl::kUnreachable;
-  net::asio::co_spawn(
-      context.loop, command->second(context, std::move(words)),
-      [&code](const std::exception_ptr&, int result) { code = result; });
+  net::asio::co_spawn(context.loop, command->second(context, std::move(words)),
+                      [&](const std::exception_ptr&, int result) {
+                        code = result;
+                        context.loop.stop();
+                      });
   context.loop.run();
   return code;
 }
--- a/scripts/lib/common.sh
+++ b/scripts/lib/common.sh
@@ -21,10 +21,9 @@
   DEBIAN_FRONTEND=noninteractive apt-get install -y -qq "${missing[@]}" >/dev/null
 }
 
-# build DIRECTORY [CMAKE ARGUMENTS]
-build() {
+# configure DIRECTORY [CMAKE ARGUMENTS]
+configure() {
   local directory=$1
   shift
   cmake -S . -B "$directory" -G Ninja "$@" >/dev/null
-  ninja -C "$directory" --quiet
 }
--- a/src/config/parse.cc
+++ b/src/config/parse.cc
@@ -311,8 +311,8 @@
 
 configlog::Validity Validate(const json& document) {
   const auto schema = document.find("schema");
-  if (schema != document.end() && schema->is_number_unsigned() &&
-      schema->get<std::uint64_t>() > kSchema) {
+  if (schema != document.end() && schema->is_number_integer() &&
+      schema->get<std::int64_t>() > static_cast<std::int64_t>(kSchema)) {
     return configlog::Validity::kUnknownSchema;
   }
   Config config;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -27,6 +27,12 @@
 
 constexpr std::size_t kReadBuffer = 16 * 1024;
 
+Error TooSlow(std::string_view part, std::chrono::milliseconds limit) {
+  return {ErrorId::kSlowSender,
+          fmt::format("the {} took over {} ms", part, limit.count()),
+          Verdict::kNotRun};
+}
+
 // Maps a read failure to the error that the peer sees; `nullopt` where the
 // peer is gone and nothing can be sent.
 std::optional<Error> ToError(const error_code& code,
@@ -286,10 +292,7 @@
   const auto head = co_await WithTimeout(
       limits_.head_timeout, ReadHead(session.socket, session.buffer, parser));
   if (!head) {
-    co_await Reject(session, {ErrorId::kSlowSender,
-                              fmt::format("the head took over {} ms",
-                                          limits_.head_timeout.count()),
-                              Verdict::kNotRun});
+    co_await Reject(session, TooSlow("head", limits_.head_timeout));
     co_return false;
   }
   if (const error_code code = std::get<0>(*head)) {
@@ -307,10 +310,7 @@
     const auto body = co_await WithTimeout(
         limits_.body_timeout, ReadBody(session.socket, session.buffer, parser));
     if (!body) {
-      co_await Reject(session, {ErrorId::kSlowSender,
-                                fmt::format("the body took over {} ms",
-                                            limits_.body_timeout.count()),
-                                Verdict::kNotRun});
+      co_await Reject(session, TooSlow("body", limits_.body_timeout));
       co_return false;
     }
     if (const error_code code = std::get<0>(*body)) {
--- a/src/telemetry/trace.cc
+++ b/src/telemetry/trace.cc
@@ -173,8 +173,8 @@
     net::Request request =
         net::MakeRequest(net::http::verb::post, collector_path_, Encode(spans),
                          "application/json");
-    const auto answer =
-        co_await client.Call(*collector_, std::move(request), {});
+    const auto answer = co_await client.Call(*collector_, std::move(request),
+                                             net::CallOptions());
     if (!answer.ok()) dropped_.fetch_add(spans.size());
   }
 }
--- a/tests/src/process-at-most-once.cpp
+++ b/tests/src/process-at-most-once.cpp
@@ -79,7 +79,9 @@
     const std::string second = VerdictOf(fleet.Book((i + 1) % 3, key));
     const std::uint64_t runs = RunsOf(fleet, key);
     EXPECT_LE(runs, 1U);
-    if (first == "not-run" && second == "not-run") EXPECT_EQ(runs, 0U);
+    if (first == "not-run" && second == "not-run") {
+      EXPECT_EQ(runs, 0U);
+    }
     EXPECT_TRUE(first == "ran" || second == "ran") << first << second;
   }
 }
@@ -156,7 +158,9 @@
   const std::string woken = VerdictOf(first.get());
   const std::uint64_t runs = RunsOf(fleet, key);
   EXPECT_LE(runs, 1U) << woken << " " << second;
-  if (woken == "not-run" && second == "not-run") EXPECT_EQ(runs, 0U);
+  if (woken == "not-run" && second == "not-run") {
+    EXPECT_EQ(runs, 0U);
+  }
 }
 
 }  // namespace
--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -8,6 +8,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/connect.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <cstdlib>
@@ -113,10 +114,12 @@
   Result<net::Response> result = Error{
       ErrorId::kTargetFailed, "the call did not finish", Verdict::kMayHaveRun};
   net::asio::co_spawn(
-      loop, client.Call(address, std::move(request), options),
-      [&result](const std::exception_ptr&, Result<net::Response> answer) {
-        result = std::move(answer);
-      });
+      loop,
+      [&]() -> net::asio::awaitable<void> {
+        result = co_await client.Call(address, std::move(request), options);
+        loop.stop();
+      },
+      net::asio::detached);
   loop.run();
   return result;
 }
