--- a/include/beryllane/error/error.h
+++ b/include/beryllane/error/error.h
@@ -95,13 +95,11 @@
 class Result {
  public:
   /// Holds a value. @pre none. Not thread-safe.
-  Result(T value)
-      : state_(std::move(value)) {
-  }  // NOLINT(google-explicit-constructor): mirrors std::expected
+  // NOLINTNEXTLINE(google-explicit-constructor): implicit as in std::expected.
+  Result(T value) : state_(std::move(value)) {}
   /// Holds an error. @pre none. Not thread-safe.
-  Result(Error error)
-      : state_(std::move(error)) {
-  }  // NOLINT(google-explicit-constructor): mirrors std::expected
+  // NOLINTNEXTLINE(google-explicit-constructor): implicit as in std::expected.
+  Result(Error error) : state_(std::move(error)) {}
 
   /// Tells whether a value is held. @pre none. Thread-safe for const use.
   bool ok() const { return std::holds_alternative<T>(state_); }
--- a/src/caller/completion_handler.cc
+++ b/src/caller/completion_handler.cc
@@ -175,7 +175,9 @@
     member.load->Trust();
     Learn(answer, member);
     answer.set_answer_timeout(defaults.progress_timeout);
-    if (is_stream_) co_return co_await RelayStream(answer, member);
+    if (is_stream_) {
+      co_return co_await RelayStream(answer, member);
+    }
     co_return co_await RelayWhole(answer, member);
   }
 
--- a/src/caller/request_context.cc
+++ b/src/caller/request_context.cc
@@ -72,8 +72,8 @@
 }
 
 std::chrono::nanoseconds RequestContext::TimeLeft() const {
-  return std::max(std::chrono::nanoseconds(0),
-                  std::chrono::nanoseconds(deadline - RuntimeClock::now()));
+  const std::chrono::nanoseconds left = deadline - RuntimeClock::now();
+  return std::max(std::chrono::nanoseconds{0}, left);
 }
 
 Result<RequestContext> Establish(const net::Exchange& exchange,
--- a/src/config/parse.cc
+++ b/src/config/parse.cc
@@ -166,9 +166,10 @@
     const std::string at = "/services/" + name;
     CheckReference(config.pools, service.pool, at + "/pool", "pool", faults);
     for (const auto& [operation_name, operation] : service.operations) {
-      CheckReference(config.kinds, operation.kind,
-                     at + "/operations/" + operation_name + "/kind",
-                     "request kind", faults);
+      const std::string kind_at =
+          fmt::format("{}/operations/{}/kind", at, operation_name);
+      CheckReference(config.kinds, operation.kind, kind_at, "request kind",
+                     faults);
     }
   }
 }
--- a/src/load/driver.cc
+++ b/src/load/driver.cc
@@ -41,7 +41,8 @@
     for (;;) {
       const std::size_t end = buffer_.find("\n\n", start);
       if (end == std::string::npos) break;
-      if (Take(std::string_view(buffer_).substr(start, end - start))) ++tokens;
+      const std::string_view buffered = buffer_;
+      if (Take(buffered.substr(start, end - start))) ++tokens;
       start = end + 2;
     }
     buffer_.erase(0, start);
@@ -101,7 +102,9 @@
       due += generator_.NextGap(rate);
       if (due > start + options_.duration) break;
       const auto now = RuntimeClock::now();
-      if (due > now) co_await net::Sleep(due - now);
+      if (due > now) {
+        co_await net::Sleep(due - now);
+      }
       GeneratedRequest request = generator_.Next(due - start);
       progress_.offered.fetch_add(1);
       net::asio::co_spawn(loop_, Send(std::move(request), due),
@@ -232,10 +235,12 @@
 Report RunLoad(const Workload& workload, const DriverOptions& options) {
   Progress progress;
   std::vector<std::unique_ptr<Worker>> workers;
+  workers.reserve(static_cast<std::size_t>(options.threads));
   for (int i = 0; i < options.threads; ++i) {
     workers.push_back(std::make_unique<Worker>(workload, options, i, progress));
   }
   std::vector<std::thread> threads;
+  threads.reserve(workers.size());
   std::atomic<int> running{options.threads};
   for (auto& worker : workers) {
     threads.emplace_back([&worker, &running] {
--- a/src/net/address.h
+++ b/src/net/address.h
@@ -3,11 +3,11 @@
 #ifndef BERYLLANE_SRC_NET_ADDRESS_H_
 #define BERYLLANE_SRC_NET_ADDRESS_H_
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace beryllane::net {
 
@@ -16,7 +16,12 @@
   std::string ip;
   std::uint16_t port = 0;
 
-  friend auto operator<=>(const Address&, const Address&) = default;
+  friend bool operator==(const Address& a, const Address& b) {
+    return a.ip == b.ip && a.port == b.port;
+  }
+  friend bool operator<(const Address& a, const Address& b) {
+    return std::tie(a.ip, a.port) < std::tie(b.ip, b.port);
+  }
 };
 
 /// Parses `127.0.0.1:8080` or `[::1]:8080`; other text gives `nullopt`. @pre
--- a/src/router/claim_gateway.cc
+++ b/src/router/claim_gateway.cc
@@ -180,7 +180,7 @@
 }
 
 void ClaimGateway::ServeUpdate(const wire::ClaimUpdate& update,
-                               wire::ReplyFunction reply) {
+                               const wire::ReplyFunction& reply) {
   ApplyLocally(update.entry);
   reply("ok");
 }
--- a/src/router/claim_gateway.h
+++ b/src/router/claim_gateway.h
@@ -51,7 +51,8 @@
   /// Answers a peer's request. @pre on the control loop.
   void ServeClaim(const wire::ClaimRequest& request, wire::ReplyFunction reply);
   /// Takes a peer's update. @pre on the control loop.
-  void ServeUpdate(const wire::ClaimUpdate& update, wire::ReplyFunction reply);
+  void ServeUpdate(const wire::ClaimUpdate& update,
+                   const wire::ReplyFunction& reply);
   /// Drives retries and deadlines for ever. @pre spawned once.
   net::asio::awaitable<void> Run();
   /// Whether entries wait for the log. @pre on the control loop.
--- a/src/router/node.cc
+++ b/src/router/node.cc
@@ -204,7 +204,7 @@
   } else if (const auto* claim = std::get_if<wire::ClaimRequest>(&*request)) {
     claims_.ServeClaim(*claim, std::move(reply));
   } else if (const auto* update = std::get_if<wire::ClaimUpdate>(&*request)) {
-    claims_.ServeUpdate(*update, std::move(reply));
+    claims_.ServeUpdate(*update, reply);
   }
 }
 
--- a/standins/engine_main.cc
+++ b/standins/engine_main.cc
@@ -93,7 +93,9 @@
 
   awaitable<void> Handle(net::Exchange& exchange) {
     const std::uint64_t life = life_;
-    if (faults_.frozen) co_await StaySilent();
+    if (faults_.frozen) {
+      co_await StaySilent();
+    }
     const std::string path(net::Target(exchange.request()));
     if (path == "/v1/chat/completions" || path == "/v1/completions") {
       co_await Complete(exchange, path == "/v1/chat/completions", life);
@@ -270,7 +272,9 @@
         exchange.CloseAfter();
         co_return;
       }
-      if (faults_.silent) co_await StaySilent();
+      if (faults_.silent) {
+        co_await StaySilent();
+      }
       text += TokenText(seed, i);
     }
     json choice{{"index", 0}, {"finish_reason", "stop"}};
@@ -325,7 +329,9 @@
         if (!co_await exchange.StartStream(std::move(head))) co_return;
         is_started = true;
       }
-      if (faults_.silent) co_await StaySilent();
+      if (faults_.silent) {
+        co_await StaySilent();
+      }
       if (!co_await exchange.Write(
               Event(i, request_id, TokenText(seed, i), is_chat))) {
         co_return;
--- a/standins/log_service.cc
+++ b/standins/log_service.cc
@@ -49,7 +49,9 @@
 
 net::asio::awaitable<void> LogService::Handle(net::Exchange& exchange,
                                               const ParsedTarget& target) {
-  if (faults_.silent) co_await StaySilent();
+  if (faults_.silent) {
+    co_await StaySilent();
+  }
   if (faults_.down) {
     net::Response answer = JsonAnswer(503, {{"error", "down"}});
     co_await exchange.Respond(std::move(answer));
@@ -113,7 +115,9 @@
   const auto until = RuntimeClock::now() + wait;
   while (from >= stream.end() && RuntimeClock::now() < until) {
     co_await net::Sleep(kReadPoll);
-    if (faults_.silent) co_await StaySilent();
+    if (faults_.silent) {
+      co_await StaySilent();
+    }
     if (faults_.down) break;
   }
   const auto hidden = std::min<std::uint64_t>(
--- a/standins/service_main.cc
+++ b/standins/service_main.cc
@@ -39,7 +39,9 @@
   }
 
   net::asio::awaitable<void> Handle(net::Exchange& exchange) {
-    if (faults_.silent) co_await StaySilent();
+    if (faults_.silent) {
+      co_await StaySilent();
+    }
     if (faults_.refuse) {
       net::Response refusal = JsonAnswer(503, {{"error", "refused"}});
       refusal.set("Service-Not-Run", "1");
--- a/tests/src/process-at-most-once.cpp
+++ b/tests/src/process-at-most-once.cpp
@@ -29,6 +29,7 @@
   for (int round = 0; round < 10; ++round) {
     const std::string key = Fleet::NewKey("once" + std::to_string(round));
     std::vector<std::future<Result<net::Response>>> calls;
+    calls.reserve(3);
     for (int i = 0; i < 3; ++i) {
       calls.push_back(std::async(std::launch::async,
                                  [&, i] { return fleet.Book(i, key); }));
--- a/tests/src/process-path.cpp
+++ b/tests/src/process-path.cpp
@@ -119,6 +119,7 @@
   constexpr int kStreams = 100;
   constexpr int kBookings = 50;
   std::vector<std::future<bool>> results;
+  results.reserve(kStreams + kBookings);
   for (int i = 0; i < kStreams; ++i) {
     results.push_back(std::async(std::launch::async, [&fleet, i] {
       const auto answer = fleet.Complete(0, "s" + std::to_string(i), 80, true);
--- a/tests/src/unit-caller.cpp
+++ b/tests/src/unit-caller.cpp
@@ -76,7 +76,8 @@
     const auto cut =
         std::max(*rc::gen::inRange<std::size_t>(1, rest.size() + 1),
                  std::min(rest.size(), round * 20));
-    std::string_view part = std::string_view(rest).substr(0, cut);
+    std::string_view part = rest;
+    part = part.substr(0, cut);
     while (!part.empty()) {
       const auto size = *rc::gen::inRange<std::size_t>(1, part.size() + 1);
       const auto events = relay.Feed(part.substr(0, size));
--- a/tests/src/unit-claim_partition.cpp
+++ b/tests/src/unit-claim_partition.cpp
@@ -24,8 +24,8 @@
       : records_(records) {}
 
   void Append(std::string data, AppendHandler done) override {
-    calls_.push_back([this, data = std::move(data),
-                      done = std::move(done)](Fate fate) {
+    calls_.emplace_back([this, data = std::move(data),
+                         done = std::move(done)](Fate fate) {
       if (fate != Fate::kFail) {
         records_.push_back({records_.size(), RuntimeClock::WallNow(), data});
       }
@@ -37,7 +37,7 @@
     });
   }
   void Read(std::uint64_t from, ReadHandler done) override {
-    calls_.push_back([this, from, done = std::move(done)](Fate fate) {
+    calls_.emplace_back([this, from, done = std::move(done)](Fate fate) {
       if (fate != Fate::kAnswer) {
         done(Error{ErrorId::kLogUnavailable, "fake", Verdict::kNotRun});
         return;
--- a/tests/src/unit-placement.cpp
+++ b/tests/src/unit-placement.cpp
@@ -187,8 +187,8 @@
     ++counts[PickHomes(HashBytes(std::to_string(k)), members, 1).index[0]];
   }
   for (const int count : counts) {
-    EXPECT_GT(count, kKeys / 10 * 0.85);
-    EXPECT_LT(count, kKeys / 10 * 1.15);
+    EXPECT_GT(count, kKeys * 0.085);
+    EXPECT_LT(count, kKeys * 0.115);
   }
 }
 
@@ -219,6 +219,7 @@
   RateLimiter limiter(100);
   std::atomic<int> taken{0};
   std::vector<std::thread> threads;
+  threads.reserve(4);
   for (int t = 0; t < 4; ++t) {
     threads.emplace_back([&] {
       for (int i = 0; i < 1000; ++i) {
--- a/tests/src/unit-snapshot.cpp
+++ b/tests/src/unit-snapshot.cpp
@@ -20,6 +20,7 @@
   SnapshotCell<Pair> cell(std::make_shared<Pair>());
   constexpr int kVersions = 2000;
   std::vector<std::thread> readers;
+  readers.reserve(4);
   std::atomic<bool> has_torn{false};
   for (int t = 0; t < 4; ++t) {
     readers.emplace_back([&] {
--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -25,15 +25,21 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-constexpr const char* kLoopback = "127.0.0.1";
 constexpr const char* kZones[] = {"iasi-a", "cluj-a", "bucuresti-a"};
 constexpr const char* kRegions[] = {"iasi", "cluj", "bucuresti"};
 
+// Each test process has a loopback address of its own, so that tests that run
+// at once cannot take each other's ports.
+std::string OwnLoopback() {
+  const auto id = static_cast<unsigned>(getpid());
+  return "127." + std::to_string(1 + (id >> 16) % 250) + "." +
+         std::to_string(id >> 8 & 0xFF) + "." + std::to_string(id & 0xFF);
+}
+
 net::Address FreeAddress() {
-  net::asio::io_context loop;
-  net::tcp::acceptor acceptor(loop,
-                              {net::asio::ip::make_address(kLoopback), 0});
-  return {kLoopback, acceptor.local_endpoint().port()};
+  constexpr std::uint16_t kFirstPort = 20000;
+  static std::uint16_t next_port = kFirstPort;
+  return {OwnLoopback(), next_port++};
 }
 
 json ControlAt(const net::Address& address, const json& change) {
@@ -231,7 +237,7 @@
           const json status = StatusOf(i);
           return status.is_object() &&
                  status["targets"].size() ==
-                     static_cast<std::size_t>(engines + 1) &&
+                     static_cast<std::size_t>(engines) + 1 &&
                  status["routers"].size() == static_cast<std::size_t>(routers);
         });
     if (!is_ready) throw std::runtime_error("a router did not become ready");
