--- a/standins/engine_main.cc
+++ b/standins/engine_main.cc
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 
+#include "beryllane/placement/prefix_chain.h"
 #include "fmt/format.h"
 #include "src/net/http_client.h"
 #include "src/net/runtime.h"
@@ -219,7 +220,7 @@
     const std::size_t from = body.value("resume_from", std::size_t{0});
     auto job = std::make_shared<Job>(context_.get_executor());
     job->prompt_tokens =
-        std::max<std::size_t>(1, prompt.size() / placement_bytes_per_token_);
+        std::max<std::size_t>(1, prompt.size() / placement::kBytesPerToken);
     job->blocks = BlockHashes(
         ChainHash(HashBytes(body.value("cache_salt", "")), weights_version_),
         prompt);
@@ -388,8 +389,6 @@
     co_await client_.Call(*store, std::move(request), options);
   }
 
-  static constexpr std::size_t placement_bytes_per_token_ = 4;
-
   net::asio::io_context& context_;
   net::HttpClient client_;
   EngineBatch batch_;
