Announce a stop to all peers at once

A fleet of 36 routers that stopped together took over a minute. Cause: each router told its peers one after another that it leaves, and waited 800 ms for each peer that was leaving too. Ruled out: draining of requests, of which there were none. All peers are now told at once, within one timeout.

--- a/src/router/state_gossip.cc
+++ b/src/router/state_gossip.cc
@@ -1,6 +1,8 @@
 #include "src/router/state_gossip.h"
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <utility>
 
 #include "src/telemetry/trace.h"
@@ -208,10 +210,26 @@
 
 awaitable<void> StateGossip::AnnounceLeaving() {
   is_leaving_ = true;
+  const auto executor = co_await net::asio::this_coro::executor;
+  // All at once: many peers may be leaving too and not answer.
+  auto waiting = std::make_shared<std::size_t>(0);
   for (const Peer& peer : OtherRouters()) {
-    const wire::PeerRequest request = MakeExchange(0);
-    co_await peers_.Call(peer.address, wire::Encode(request), kCallTimeout);
+    ++*waiting;
+    net::asio::co_spawn(executor, AnnounceTo(peer.address, waiting),
+                        net::asio::detached);
   }
+  constexpr milliseconds kPoll{10};
+  const auto limit = RuntimeClock::now() + kCallTimeout;
+  while (*waiting > 0 && RuntimeClock::now() < limit) {
+    co_await net::Sleep(kPoll);
+  }
+}
+
+awaitable<void> StateGossip::AnnounceTo(std::string address,
+                                        std::shared_ptr<std::size_t> waiting) {
+  const wire::PeerRequest request = MakeExchange(0);
+  co_await peers_.Call(std::move(address), wire::Encode(request), kCallTimeout);
+  --*waiting;
 }
 
 }  // namespace beryllane::router
--- a/src/router/state_gossip.h
+++ b/src/router/state_gossip.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -63,6 +64,8 @@
 
  private:
   std::vector<Peer> OtherRouters() const;
+  net::asio::awaitable<void> AnnounceTo(std::string address,
+                                        std::shared_ptr<std::size_t> waiting);
   net::asio::awaitable<bool> ExchangeWith(const Peer& peer, bool wants_state);
   std::size_t AffordableLoads();
   wire::StateExchange MakeExchange(std::size_t max_loads);
