Let the host list stand-in answer that its version is known

The conditional fetch of the host list had no effect: the stand-in ignored the version and sent the whole list (seen with curl, status 200 with the body). It now answers 304.

--- a/standins/platform_main.cc
+++ b/standins/platform_main.cc
@@ -165,7 +165,14 @@
     } else if (method == net::http::verb::delete_ && !id.empty()) {
       hosts_.Remove(id);
     }
-    co_await exchange.Respond(JsonAnswer(200, hosts_.Show()));
+    const json list = hosts_.Show();
+    const bool is_known =
+        method == net::http::verb::get && target.query.contains("known") &&
+        target.Number("known", 0) == list["version"].get<std::int64_t>();
+    net::Response answer =
+        is_known ? net::MakeResponse(304, "", "application/json")
+                 : JsonAnswer(200, list);
+    co_await exchange.Respond(std::move(answer));
   }
 
   net::asio::awaitable<void> HandleKeptKv(net::Exchange& exchange,
