--- a/standins/platform_main.cc
+++ b/standins/platform_main.cc
@@ -169,9 +169,9 @@
     const bool is_known =
         method == net::http::verb::get && target.query.contains("known") &&
         target.Number("known", 0) == list["version"].get<std::int64_t>();
-    net::Response answer =
-        is_known ? net::MakeResponse(304, "", "application/json")
-                 : JsonAnswer(200, list);
+    net::Response answer = is_known
+                               ? net::MakeResponse(304, "", "application/json")
+                               : JsonAnswer(200, list);
     co_await exchange.Respond(std::move(answer));
   }
 
