Disturb streams in their middle, not after a fixed time

With the progress deadline set to 600 s as a trial, AnEngineThatGoesSilentIsLeft failed as it should, but AFrozenEngineIsReplaced passed. Cause: the test froze the engine 60 ms after the request, which may be before the answer starts, where another timeout holds. The tests now wait until the engine decodes, and the streams are four times as long.

--- a/standins/engine_main.cc
+++ b/standins/engine_main.cc
@@ -121,6 +121,7 @@
     report["computed_tokens"] = batch_.computed_tokens();
     report["cached_tokens"] = batch_.cached_tokens();
     report["streams"] = streams_;
+    report["decoding"] = batch_.running();
     report["cancelled"] = cancelled_;
     report["orders_refused"] = orders_refused_;
     co_await exchange.Respond(JsonAnswer(200, report));
--- a/tests/src/process-streams.cpp
+++ b/tests/src/process-streams.cpp
@@ -14,7 +14,7 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-constexpr int kTokens = 40;
+constexpr int kTokens = 160;
 
 json FastFailover() { return {{"defaults", {{"progress_timeout_ms", 400}}}}; }
 
@@ -34,6 +34,14 @@
     home_ = IndexOf(HeaderOf(answer.value(), "Beryllane-Target"));
   }
 
+  // Waits until the home engine is in the middle of a stream.
+  void WaitForStream() const {
+    EXPECT_TRUE(Eventually([&] {
+      return fleet_.ControlEngine(home_, json::object()).value("decoding", 0) >
+             0;
+    }));
+  }
+
   void ExpectWhole(const Result<net::Response>& answer) const {
     ASSERT_TRUE(answer.ok()) << answer.error().message;
     EXPECT_EQ(StreamText(answer.value().body()), undisturbed_);
@@ -59,7 +67,7 @@
   auto call = std::async(std::launch::async, [&] {
     return fleet_.Complete(0, "prompt", kTokens, true);
   });
-  std::this_thread::sleep_for(milliseconds(60));
+  WaitForStream();
   fleet_.ControlEngine(home_, {{"silent", true}});
   ExpectWhole(call.get());
 }
@@ -68,7 +76,7 @@
   auto call = std::async(std::launch::async, [&] {
     return fleet_.Complete(0, "prompt", kTokens, true);
   });
-  std::this_thread::sleep_for(milliseconds(60));
+  WaitForStream();
   fleet_.engine(home_).Kill();
   ExpectWhole(call.get());
 }
@@ -77,7 +85,7 @@
   auto call = std::async(std::launch::async, [&] {
     return fleet_.Complete(1, "prompt", kTokens, true);
   });
-  std::this_thread::sleep_for(milliseconds(60));
+  WaitForStream();
   fleet_.engine(home_).Signal(SIGSTOP);
   ExpectWhole(call.get());
   fleet_.engine(home_).Signal(SIGCONT);
