--- a/tests/src/process-streams.cpp
+++ b/tests/src/process-streams.cpp
@@ -83,7 +83,7 @@
 
 TEST_F(Streams, AFrozenEngineIsReplaced) {
   auto call = std::async(std::launch::async, [&] {
-    return fleet_.Complete(1, "prompt", kTokens, true);
+    return fleet_.Complete(0, "prompt", kTokens, true);
   });
   WaitForStream();
   fleet_.engine(home_).Signal(SIGSTOP);
