--- a/src/router/claim_gateway.cc
+++ b/src/router/claim_gateway.cc
@@ -4,7 +4,6 @@
 #include <boost/asio/async_result.hpp>
 #include <utility>
 
-#include "beryllane/placement/rendezvous.h"
 #include "src/telemetry/trace.h"
 
 namespace beryllane::router {
@@ -85,14 +84,7 @@
 std::string ClaimGateway::OwnerAddress(std::uint32_t index) const {
   const auto state = directory_.cell().Load();
   const Hash128 key = HashBytes("claims-" + std::to_string(index));
-  const Peer* owner = nullptr;
-  std::uint64_t best = 0;
-  for (const Peer& router : state->routers) {
-    const std::uint64_t score = placement::Score(key, router.hash);
-    if (owner != nullptr && score <= best) continue;
-    owner = &router;
-    best = score;
-  }
+  const Peer* owner = OwnerOf(*state, key);
   if (owner == nullptr || owner->id == host_id_) return "";
   return owner->address;
 }
--- a/src/router/load_poller.cc
+++ b/src/router/load_poller.cc
@@ -8,7 +8,6 @@
 #include <utility>
 
 #include "beryllane/hash/hash.h"
-#include "beryllane/placement/rendezvous.h"
 
 namespace beryllane::router {
 namespace {
@@ -54,15 +53,7 @@
 
 bool LoadPoller::IsMine(const std::string& runner) const {
   const auto state = directory_.cell().Load();
-  const Hash128 key = HashBytes(runner);
-  const Peer* owner = nullptr;
-  std::uint64_t best = 0;
-  for (const Peer& router : state->routers) {
-    const std::uint64_t score = placement::Score(key, router.hash);
-    if (owner != nullptr && score <= best) continue;
-    owner = &router;
-    best = score;
-  }
+  const Peer* owner = OwnerOf(*state, HashBytes(runner));
   return owner != nullptr && owner->id == host_id_;
 }
 
--- a/src/router/routing_state.h
+++ b/src/router/routing_state.h
@@ -10,6 +10,7 @@
 
 #include "beryllane/limit/rate_limiter.h"
 #include "beryllane/placement/policy.h"
+#include "beryllane/placement/rendezvous.h"
 #include "src/config/config.h"
 #include "src/net/address.h"
 #include "src/platform/host_list.h"
@@ -49,6 +50,20 @@
   }
 };
 
+/// The live router that owns `key` by rendezvous hashing; null if there is
+/// none. @pre none. Thread-safe. Complexity: linear in the routers.
+inline const Peer* OwnerOf(const RoutingState& state, const Hash128& key) {
+  const Peer* owner = nullptr;
+  std::uint64_t best = 0;
+  for (const Peer& router : state.routers) {
+    const std::uint64_t score = placement::Score(key, router.hash);
+    if (owner != nullptr && score <= best) continue;
+    owner = &router;
+    best = score;
+  }
+  return owner;
+}
+
 }  // namespace beryllane::router
 
 #endif  // BERYLLANE_SRC_ROUTER_ROUTING_STATE_H_
