Read the number of claimed keys on the control loop

ThreadSanitizer found a data race between ClaimTable::Apply on the control loop and ClaimTable::size, which /metrics read from a request loop; it ended router 0 in AGracefulStopCutsNoRequest in one of two runs. Cause: the metric was computed when printed. It is now a gauge that the control loop sets.

--- a/src/caller/completion_handler.h
+++ b/src/caller/completion_handler.h
@@ -24,7 +24,7 @@
   net::asio::awaitable<void> Handle(net::Exchange& exchange, bool is_chat);
 
   /// Decides where a request of `account` would go, without sending it. @pre
-  /// on the control loop.
+  /// none.
   Result<nlohmann::json> Explain(const std::string& body, bool is_chat,
                                  const std::string& account);
 
--- a/src/router/claim_gateway.cc
+++ b/src/router/claim_gateway.cc
@@ -54,16 +54,9 @@
                                         {{"served", "peer"}})),
       peer_failures_(metrics.GetCounter(
           "beryllane_claim_peer_failures_total",
-          "Claims that the partition's router did not answer")) {
-  metrics_.AddComputed("beryllane_claim_keys", "Keys held by partitions here",
-                       [this] {
-                         std::size_t keys = 0;
-                         for (const Local& local : locals_) {
-                           if (local.partition) keys += local.partition->size();
-                         }
-                         return static_cast<double>(keys);
-                       });
-}
+          "Claims that the partition's router did not answer")),
+      keys_(metrics.GetGauge("beryllane_claim_keys",
+                             "Keys held by partitions here")) {}
 
 Hash128 NewAttemptId() {
   return {telemetry::RandomId(), telemetry::RandomId()};
@@ -180,9 +173,13 @@
 awaitable<void> ClaimGateway::Run() {
   for (;;) {
     co_await net::Sleep(kTickEvery);
+    std::size_t keys = 0;
     for (Local& local : locals_) {
-      if (local.partition) local.partition->Tick();
+      if (!local.partition) continue;
+      local.partition->Tick();
+      keys += local.partition->size();
     }
+    keys_.Set(static_cast<std::int64_t>(keys));
   }
 }
 
--- a/src/router/claim_gateway.h
+++ b/src/router/claim_gateway.h
@@ -85,6 +85,7 @@
   Counter& local_claims_;
   Counter& remote_claims_;
   Counter& peer_failures_;
+  Gauge& keys_;
 };
 
 }  // namespace beryllane::router
