--- a/apps/beryllaned.cc
+++ b/apps/beryllaned.cc
@@ -6,10 +6,13 @@
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <string>
 #include <vector>
 
+#include "platform/settings.h"
 #include "src/caller/front.h"
+#include "src/fleet/fleet_node.h"
 #include "src/router/node.h"
 #include "src/router/settings.h"
 #include "src/settings/flag_source.h"
@@ -46,6 +49,12 @@
 ABSL_FLAG(bool, check_settings, false,
           "print the settings in force and where each came from, then exit");
 
+ABSL_FLAG(bool, platform, false,
+          "run on the platform: addresses come from its settings file, targets "
+          "and configuration from its store");
+ABSL_FLAG(int, metrics_port, 0,
+          "port of the metrics on the platform; 0 serves none");
+
 namespace beryllane {
 namespace {
 
@@ -70,7 +79,9 @@
                                               "body_timeout_ms",
                                               "max_body_bytes",
                                               "fatal_invariants",
-                                              "check_settings"};
+                                              "check_settings",
+                                              "platform",
+                                              "metrics_port"};
   return names;
 }
 
@@ -161,6 +172,33 @@
   return 0;
 }
 
+int PrintFault(const Error& error) {
+  std::fprintf(stderr, "error %d %s: %s\n", static_cast<int>(error.id),
+               std::string(Name(error.id)).c_str(), error.message.c_str());
+  return settings::kBadSettingsExit;
+}
+
+int ServePlatform() {
+  const char* path = std::getenv(platform::kSettingsVariable);
+  if (path == nullptr) {
+    return PrintFault({ErrorId::kSettingMissing,
+                       std::string(platform::kSettingsVariable) +
+                           " names no settings file",
+                       Verdict::kNotRun});
+  }
+  auto read = platform::ReadSettings(path);
+  if (!read.ok()) return PrintFault(read.error());
+  if (!telemetry::InitLog(absl::GetFlag(FLAGS_log_level), "beryllaned",
+                          read.value().host_id)) {
+    return settings::kBadSettingsExit;
+  }
+  fleet::FleetNode node(
+      std::move(read.value()), path,
+      static_cast<std::uint16_t>(absl::GetFlag(FLAGS_metrics_port)));
+  auto ran = node.Run();
+  return ran.ok() ? 0 : PrintFault(ran.error());
+}
+
 int Main(int argc, char** argv) {
   const auto line = settings::ReadCommandLine(argc, argv, FlagNames());
   if (line.wants_help) {
@@ -173,6 +211,10 @@
     faults.push_back(
         {ErrorId::kSettingUnknown, word, "\"" + word + "\" is not a flag"});
   }
+  if (faults.empty() && absl::GetFlag(FLAGS_platform)) {
+    std::signal(SIGPIPE, SIG_IGN);
+    return ServePlatform();
+  }
   router::Settings settings = router::ParseSettings(ReadRaw(), faults);
   if (!faults.empty()) {
     std::fputs(settings::FaultText(faults).c_str(), stderr);
--- /dev/null
+++ b/include/beryllane/clock/boot_clock.h
@@ -0,0 +1,26 @@
+/// @file
+/// A monotonic clock that counts the time for which the host was suspended.
+#ifndef BERYLLANE_CLOCK_BOOT_CLOCK_H_
+#define BERYLLANE_CLOCK_BOOT_CLOCK_H_
+
+#include <chrono>
+
+namespace beryllane {
+
+/// Measures leases and the age of proofs, which go on while a host sleeps.
+/// Tests pause and advance it together with `RuntimeClock`.
+class BootClock {
+ public:
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<BootClock>;
+  static constexpr bool is_steady = true;
+
+  /// Time since the host started. @pre none. Thread-safe.
+  static time_point now();
+};
+
+}  // namespace beryllane
+
+#endif  // BERYLLANE_CLOCK_BOOT_CLOCK_H_
--- /dev/null
+++ b/include/beryllane/lease/lease.h
@@ -0,0 +1,68 @@
+/// @file
+/// A lease kept as records of a log that accepts an append only at an expected
+/// end. The offset of the record that takes the lease is its fencing token.
+#ifndef BERYLLANE_LEASE_LEASE_H_
+#define BERYLLANE_LEASE_LEASE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+#include "beryllane/clock/boot_clock.h"
+
+namespace beryllane::lease {
+
+/// Times of a lease, all on the boot clock.
+struct Terms {
+  /// How long a holder may act after it sent its newest record.
+  std::chrono::nanoseconds hold{};
+  /// Least time between the last act of one holder and the first of another.
+  std::chrono::nanoseconds separation{};
+  /// Allowance for clocks that run at different rates.
+  std::chrono::nanoseconds margin{};
+};
+
+/// One host's view of the lease. Not thread-safe.
+class Lease {
+ public:
+  /// @pre `self` is unique among the hosts.
+  Lease(std::string self, Terms terms);
+
+  /// Notes a record of `holder` read from the log. @pre offsets rise.
+  void OnRecord(const std::string& holder, std::uint64_t offset,
+                BootClock::time_point seen);
+  /// Notes that the log ends at `end`. @pre none.
+  void OnEnd(std::uint64_t end) { end_ = end; }
+  /// Notes that the log took the own record, sent at `sent`. @pre none.
+  void OnAppended(std::uint64_t offset, BootClock::time_point sent);
+  /// Gives the lease up, for example after a target refused its token. A new
+  /// record is needed to act again. @pre none.
+  void Abandon();
+
+  /// Whether an append at `end()` may take or renew the lease. A host other
+  /// than the last holder waits until the holder can no longer act, and for
+  /// the separation. @pre none.
+  bool MayAppend(BootClock::time_point now) const;
+  /// Whether this host may act now. @pre none.
+  bool IsHeld(BootClock::time_point now) const;
+  /// Token of the present tenure. @pre `IsHeld`.
+  std::uint64_t token() const { return token_; }
+  /// Offset at which the next record is expected. @pre none.
+  std::uint64_t end() const { return end_; }
+  /// Holder named by the newest record; empty where there is none. @pre none.
+  const std::string& last_holder() const { return last_holder_; }
+
+ private:
+  std::string self_;
+  Terms terms_;
+  std::string last_holder_;
+  BootClock::time_point last_seen_;
+  std::uint64_t end_ = 0;
+  bool is_holder_ = false;
+  std::uint64_t token_ = 0;
+  BootClock::time_point renewed_;
+};
+
+}  // namespace beryllane::lease
+
+#endif  // BERYLLANE_LEASE_LEASE_H_
--- a/scripts/lib/common.sh
+++ b/scripts/lib/common.sh
@@ -4,7 +4,7 @@
 cd "$ROOT"
 
 PACKAGES="libboost1.81-dev libnng-dev libabsl-dev libspdlog-dev
-  librapidcheck-dev nlohmann-json3-dev libxxhash-dev libssl-dev
+  librapidcheck-dev libtomlplusplus-dev nlohmann-json3-dev libxxhash-dev libssl-dev
   libbenchmark-dev libgtest-dev libclang-rt-14-dev ninja-build ccache
   cmake g++ clang-format-14 clang-tidy-14 curl jq"
 
--- /dev/null
+++ b/src/caller/completion_dialect.cc
@@ -0,0 +1,294 @@
+#include "src/caller/completion_dialect.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "fmt/format.h"
+#include "src/caller/error_answer.h"
+#include "src/telemetry/log.h"
+
+namespace beryllane::caller {
+namespace {
+
+using exchange::Judgement;
+using exchange::Target;
+using std::chrono::nanoseconds;
+using telemetry::Level;
+using telemetry::Span;
+
+constexpr int kOk = 200;
+constexpr int kConflict = 409;
+constexpr int kTooManyRequests = 429;
+constexpr int kServerErrors = 500;
+
+template <typename T>
+T ParseOr(std::string_view text, T fallback, int base = 10) {
+  T value = fallback;
+  std::from_chars(text.data(), text.data() + text.size(), value, base);
+  return value;
+}
+
+void ReadLoadHeader(std::string_view text, placement::LoadCell& load) {
+  // "<queued tokens> <running> <prefill tokens per second>"
+  const std::size_t first = text.find(' ');
+  const std::size_t second = text.find(' ', first + 1);
+  if (first == std::string_view::npos || second == std::string_view::npos) {
+    return;
+  }
+  load.Report(
+      {ParseOr<std::uint32_t>(text.substr(0, first), 0),
+       ParseOr<std::uint32_t>(text.substr(first + 1, second - first - 1), 0),
+       ParseOr<std::uint32_t>(text.substr(second + 1), 0),
+       RuntimeClock::now()});
+}
+
+}  // namespace
+
+CompletionDialect::CompletionDialect(net::Exchange& exchange,
+                                     router::Node& node,
+                                     RequestMetrics& metrics,
+                                     const RequestContext& context,
+                                     CompletionPlan plan, bool is_stream,
+                                     std::string body)
+    : exchange_(exchange),
+      node_(node),
+      metrics_(metrics),
+      context_(context),
+      plan_(std::move(plan)),
+      is_stream_(is_stream),
+      body_(std::move(body)),
+      relay_(context.id) {
+  CountArrival(plan_, node_);
+  node_.retry_budget().Credit(defaults().retry_budget);
+}
+
+const config::Defaults& CompletionDialect::defaults() const {
+  return plan_.state->config->defaults;
+}
+
+const placement::Member& CompletionDialect::member() const {
+  return plan_.targets->view.members[choice_.member];
+}
+
+Result<Target> CompletionDialect::Choose() {
+  const auto start = RuntimeClock::now();
+  const placement::Decision decision =
+      DecideFor(plan_, node_, context_.TimeLeft());
+  FinishDecisionSpan(decision, start);
+  if (decision.refusal != placement::Refusal::kNone) {
+    return Refuse(decision.refusal);
+  }
+  choice_ = decision.choice();
+  attempt_trace_ = telemetry::Tracer::Child(context_.trace);
+  attempt_start_ = RuntimeClock::now();
+  metrics_.attempts.Add();
+  if (relay_.next_position() > 0) metrics_.resumes.Add();
+  relay_.Restart();
+  pending_.emplace(member().load, plan_.tokens - choice_.expected_cached_tokens);
+  return Target{std::string(member().id),
+                plan_.targets->addresses[choice_.member]};
+}
+
+Error CompletionDialect::Refuse(placement::Refusal refusal) const {
+  if (refusal == placement::Refusal::kNoTarget) {
+    return {ErrorId::kNoTarget,
+            fmt::format("pool {} has no target", plan_.model->pool),
+            Verdict::kNotRun};
+  }
+  return {ErrorId::kOverloaded,
+          "no target would start the answer before the deadline",
+          Verdict::kNotRun};
+}
+
+net::Request CompletionDialect::Encode(const Target& /*target*/) const {
+  EngineFields fields;
+  fields.cache_salt = plan_.cache_salt;
+  fields.weights_version = plan_.model->weights_version;
+  fields.priority = plan_.kind.priority;
+  fields.resume_from = relay_.next_position();
+  net::Request request = net::MakeRequest(
+      net::http::verb::post, net::Target(exchange_.request()),
+      EngineBody(body_, fields), "application/json");
+  request.set(kRequestIdHeader, context_.id);
+  request.set("traceparent", telemetry::ToTraceparent(attempt_trace_));
+  return request;
+}
+
+net::CallOptions CompletionDialect::Options() const {
+  net::CallOptions options;
+  options.connect_timeout = defaults().connect_timeout;
+  options.answer_timeout = std::min(context_.TimeLeft(), HeadTimeout());
+  return options;
+}
+
+// An answer that takes far longer than predicted comes from a target that
+// lost the request.
+nanoseconds CompletionDialect::HeadTimeout() const {
+  constexpr int kPredictionFactor = 4;
+  if (!is_stream_) return context_.TimeLeft();
+  return nanoseconds(defaults().progress_timeout) +
+         kPredictionFactor * (choice_.wait + choice_.prefill);
+}
+
+nanoseconds CompletionDialect::ProgressTimeout() const {
+  return defaults().progress_timeout;
+}
+
+Judgement CompletionDialect::Judge(const net::AnswerStream& answer,
+                                   const Target& target) {
+  const int status = answer.status();
+  if (status != kOk) {
+    const bool may_work_elsewhere = status == kConflict ||
+                                    status == kTooManyRequests ||
+                                    status >= kServerErrors;
+    return {Judgement::Kind::kFailed,
+            {ErrorId::kTargetFailed,
+             fmt::format("{} answered with status {}", target.id, status),
+             may_work_elsewhere ? Verdict::kMayHaveRun : Verdict::kRan}};
+  }
+  const std::string_view id = net::Header(answer.head(), "Engine-Request-Id");
+  if (id != context_.id) {
+    metrics_.crossed_answers.Add();
+    return {Judgement::Kind::kFailed,
+            {ErrorId::kTargetAnswerInvalid,
+             fmt::format("{} answered another request", target.id),
+             Verdict::kMayHaveRun}};
+  }
+  pending_->Finish();
+  member().load->Trust();
+  Learn(answer);
+  return {Judgement::Kind::kRelay, {}};
+}
+
+void CompletionDialect::Learn(const net::AnswerStream& answer) {
+  const auto& head = answer.head();
+  const auto incarnation =
+      ParseOr<std::uint64_t>(net::Header(head, "Engine-Incarnation"), 0, 16);
+  ReadLoadHeader(net::Header(head, "Engine-Load"), *member().load);
+  if (incarnation != 0) {
+    member().load->set_incarnation(incarnation);
+    LearnFrom(plan_, node_, incarnation);
+  }
+  const auto prompt =
+      ParseOr<std::uint64_t>(net::Header(head, "Engine-Prompt-Tokens"), 0);
+  cached_tokens_ =
+      ParseOr<std::uint64_t>(net::Header(head, "Engine-Cached-Tokens"), 0);
+  metrics_.prompt_tokens.Add(prompt);
+  metrics_.cached_tokens.Add(cached_tokens_);
+}
+
+Result<std::string> CompletionDialect::Feed(const std::string& bytes) {
+  if (context_.TimeLeft() <= nanoseconds(0)) {
+    return Error{ErrorId::kDeadlineExceeded,
+                 "the deadline passed while the answer was being sent",
+                 Verdict::kRan};
+  }
+  auto events = relay_.Feed(bytes);
+  if (!events.ok()) metrics_.crossed_answers.Add();
+  if (events.ok()) metrics_.events.Add();
+  return events;
+}
+
+Result<Done> CompletionDialect::OnStreamEnd() const {
+  return Error{ErrorId::kStreamBroken,
+               fmt::format("{} ended the stream early", member().id),
+               Verdict::kRan};
+}
+
+template <typename Head>
+void CompletionDialect::SetAnswerHeaders(Head& head,
+                                         const Target& target) const {
+  head.set(kRequestIdHeader, context_.id);
+  head.set(kVerdictHeader, std::string(ToString(Verdict::kRan)));
+  head.set(kTargetHeader, target.id);
+  head.set(kCachedTokensHeader, std::to_string(cached_tokens_));
+  head.set("traceparent", telemetry::ToTraceparent(context_.trace));
+}
+
+net::http::response<net::http::empty_body> CompletionDialect::StreamHead(
+    const net::AnswerStream& /*answer*/, const Target& target) const {
+  net::http::response<net::http::empty_body> head(net::http::status::ok,
+                                                  net::kHttp11);
+  head.set(net::http::field::content_type, "text/event-stream");
+  head.set(net::http::field::cache_control, "no-cache");
+  SetAnswerHeaders(head, target);
+  metrics_.first_token.Record(RuntimeClock::now() - exchange_.started());
+  return head;
+}
+
+net::Response CompletionDialect::WholeAnswer(
+    const net::AnswerStream& /*answer*/, std::string body,
+    const Target& target) const {
+  net::Response response =
+      net::MakeResponse(kOk, std::move(body), "application/json");
+  SetAnswerHeaders(response, target);
+  metrics_.first_token.Record(RuntimeClock::now() - exchange_.started());
+  return response;
+}
+
+void CompletionDialect::OnAttemptEnd(const Target& target,
+                                     const Error* error) {
+  pending_.reset();
+  Span span{attempt_trace_,      "target", attempt_start_,
+            RuntimeClock::now(), error != nullptr, {}};
+  span.attributes.emplace_back("target", target.id);
+  if (error == nullptr) {
+    metrics_.duplicate_events.Add(relay_.duplicates());
+  } else {
+    span.attributes.emplace_back("error", error->message);
+    plan_.excluded.push_back(plan_.targets->view.ids[choice_.member]);
+    const bool is_unreachable = error->id == ErrorId::kTargetUnreachable ||
+                                error->id == ErrorId::kTargetSilent;
+    if (is_unreachable) {
+      member().load->Suspect(RuntimeClock::now() + router::kSuspicion);
+    }
+    telemetry::Log(Level::kInfo, telemetry::event::kAttemptFailed,
+                   {{"request", context_.id},
+                    {"target", target.id},
+                    {"error", Name(error->id)},
+                    {"message", error->message},
+                    {"position", relay_.next_position()}});
+  }
+  node_.tracer().Finish(std::move(span));
+}
+
+bool CompletionDialect::MayTryAgain(Error& error, int attempts) {
+  if (error.id == ErrorId::kDeadlineExceeded) return false;
+  if (attempts >= defaults().max_attempts) return false;
+  if (context_.TimeLeft() <= nanoseconds(0)) {
+    error = Error{ErrorId::kDeadlineExceeded,
+                  "the deadline passed; last failure: " + error.message,
+                  error.verdict};
+    return false;
+  }
+  if (!node_.retry_budget().TryTake()) {
+    error.message += "; the retry budget is spent";
+    return false;
+  }
+  metrics_.retries.Add();
+  return true;
+}
+
+void CompletionDialect::FinishDecisionSpan(
+    const placement::Decision& decision, RuntimeClock::time_point start) {
+  if (!context_.trace.is_sampled) return;
+  Span span{telemetry::Tracer::Child(context_.trace),
+            "decision",
+            start,
+            RuntimeClock::now(),
+            decision.refusal != placement::Refusal::kNone,
+            {}};
+  span.attributes.emplace_back("candidates", std::to_string(decision.count));
+  if (decision.refusal == placement::Refusal::kNone) {
+    const placement::Candidate& choice = decision.choice();
+    span.attributes.emplace_back(
+        "target", plan_.targets->view.members[choice.member].id);
+    span.attributes.emplace_back(
+        "expected_cached_tokens",
+        std::to_string(choice.expected_cached_tokens));
+  }
+  node_.tracer().Finish(std::move(span));
+}
+
+}  // namespace beryllane::caller
--- /dev/null
+++ b/src/caller/completion_dialect.h
@@ -0,0 +1,97 @@
+/// @file
+/// Completions of the router's own interface, sent to model runners.
+#ifndef BERYLLANE_SRC_CALLER_COMPLETION_DIALECT_H_
+#define BERYLLANE_SRC_CALLER_COMPLETION_DIALECT_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "src/caller/completion_plan.h"
+#include "src/caller/request_context.h"
+#include "src/caller/request_metrics.h"
+#include "src/caller/stream_relay.h"
+#include "src/exchange/engine.h"
+
+namespace beryllane::caller {
+
+/// Own work at a target from its dispatch to its first token.
+class PendingPrefill {
+ public:
+  PendingPrefill(std::shared_ptr<placement::LoadCell> load,
+                 std::uint32_t tokens)
+      : load_(std::move(load)), tokens_(tokens) {
+    load_->Begin(tokens_, RuntimeClock::now());
+  }
+  ~PendingPrefill() { Finish(); }
+  PendingPrefill(const PendingPrefill&) = delete;
+  PendingPrefill& operator=(const PendingPrefill&) = delete;
+
+  void Finish() {
+    if (!is_finished_) load_->FirstToken(tokens_);
+    is_finished_ = true;
+  }
+
+ private:
+  std::shared_ptr<placement::LoadCell> load_;
+  std::uint32_t tokens_;
+  bool is_finished_ = false;
+};
+
+/// One completion's dialect; see `exchange::Dialect`. Not thread-safe.
+class CompletionDialect {
+ public:
+  /// @pre all references outlive the dialect.
+  CompletionDialect(net::Exchange& exchange, router::Node& node,
+                    RequestMetrics& metrics, const RequestContext& context,
+                    CompletionPlan plan, bool is_stream, std::string body);
+
+  Result<exchange::Target> Choose();
+  net::Request Encode(const exchange::Target& target) const;
+  net::CallOptions Options() const;
+  std::chrono::nanoseconds ProgressTimeout() const;
+  exchange::Judgement Judge(const net::AnswerStream& answer,
+                            const exchange::Target& target);
+  bool IsStream(const net::AnswerStream& /*answer*/) const {
+    return is_stream_;
+  }
+  Result<std::string> Feed(const std::string& bytes);
+  bool IsComplete() const { return relay_.is_complete(); }
+  Result<Done> OnStreamEnd() const;
+  net::http::response<net::http::empty_body> StreamHead(
+      const net::AnswerStream& answer, const exchange::Target& target) const;
+  net::Response WholeAnswer(const net::AnswerStream& answer, std::string body,
+                            const exchange::Target& target) const;
+  void OnAttemptEnd(const exchange::Target& target, const Error* error);
+  bool MayTryAgain(Error& error, int attempts);
+
+ private:
+  const config::Defaults& defaults() const;
+  const placement::Member& member() const;
+  Error Refuse(placement::Refusal refusal) const;
+  std::chrono::nanoseconds HeadTimeout() const;
+  void Learn(const net::AnswerStream& answer);
+  template <typename Head>
+  void SetAnswerHeaders(Head& head, const exchange::Target& target) const;
+  void FinishDecisionSpan(const placement::Decision& decision,
+                          RuntimeClock::time_point start);
+
+  net::Exchange& exchange_;
+  router::Node& node_;
+  RequestMetrics& metrics_;
+  const RequestContext& context_;
+  CompletionPlan plan_;
+  bool is_stream_;
+  std::string body_;
+  StreamRelay relay_;
+  placement::Candidate choice_;
+  std::optional<PendingPrefill> pending_;
+  telemetry::TraceContext attempt_trace_;
+  RuntimeClock::time_point attempt_start_;
+  std::uint64_t cached_tokens_ = 0;
+};
+
+}  // namespace beryllane::caller
+
+#endif  // BERYLLANE_SRC_CALLER_COMPLETION_DIALECT_H_
--- /dev/null
+++ b/src/caller/service_dialect.cc
@@ -0,0 +1,150 @@
+#include "src/caller/service_dialect.h"
+
+#include <utility>
+
+#include "beryllane/invariant/invariant.h"
+#include "fmt/format.h"
+#include "src/caller/error_answer.h"
+
+namespace beryllane::caller {
+namespace {
+
+using exchange::Judgement;
+using exchange::Target;
+using std::chrono::nanoseconds;
+using telemetry::Span;
+
+constexpr int kServerErrors = 500;
+
+}  // namespace
+
+ServiceDialect::ServiceDialect(net::Exchange& exchange, router::Node& node,
+                               RequestMetrics& metrics,
+                               const RequestContext& context,
+                               const ServiceCall& call, const std::string& body)
+    : exchange_(exchange),
+      node_(node),
+      metrics_(metrics),
+      context_(context),
+      call_(call),
+      body_(body) {
+  const config::Defaults& defaults = context_.state->config->defaults;
+  if (!call_.needs_claim()) node_.retry_budget().Credit(defaults.retry_budget);
+}
+
+ServiceDialect::~ServiceDialect() {
+  BERYLLANE_INVARIANT("claimed-call-written-once",
+                      !call_.needs_claim() || writes_ <= 1);
+}
+
+const router::PoolTargets& ServiceDialect::targets() const {
+  return context_.state->pools.at(call_.pool);
+}
+
+const placement::Member& ServiceDialect::member() const {
+  return targets().view.members[pick_];
+}
+
+Result<Target> ServiceDialect::Choose() {
+  const auto pick = placement::PickLeastOfTwo(
+      targets().view, telemetry::RandomId(), excluded_, RuntimeClock::now());
+  if (!pick) {
+    return Error{ErrorId::kNoTarget,
+                 fmt::format("pool {} has no target", call_.pool),
+                 Verdict::kNotRun};
+  }
+  pick_ = *pick;
+  is_judged_ = false;
+  metrics_.attempts.Add();
+  attempt_trace_ = telemetry::Tracer::Child(context_.trace);
+  attempt_start_ = RuntimeClock::now();
+  return Target{std::string(member().id), targets().addresses[pick_]};
+}
+
+net::CallOptions ServiceDialect::Options() const {
+  net::CallOptions options;
+  options.connect_timeout = context_.state->config->defaults.connect_timeout;
+  options.answer_timeout = context_.TimeLeft();
+  // A claimed call is written at most once, so no doubt may be left about
+  // whether an idle connection took it.
+  options.needs_new_connection = call_.needs_claim();
+  return options;
+}
+
+net::Request ServiceDialect::Encode(const Target& /*target*/) const {
+  const net::Request& received = exchange_.request();
+  net::Request request =
+      net::MakeRequest(received.method(), call_.path, body_,
+                       net::Header(received, "Content-Type"));
+  request.set(kRequestIdHeader, context_.id);
+  request.set("traceparent", telemetry::ToTraceparent(attempt_trace_));
+  request.set("Beryllane-Account", context_.account);
+  if (!call_.key.empty()) request.set(kKeyHeader, call_.key);
+  const std::string_view accept = net::Header(received, "Accept");
+  if (!accept.empty()) request.set("Accept", std::string(accept));
+  return request;
+}
+
+Judgement ServiceDialect::Judge(const net::AnswerStream& answer,
+                                const Target& target) {
+  is_judged_ = true;
+  member().load->Trust();
+  // The service itself proves that it did not act.
+  const bool is_refusal =
+      answer.status() >= kServerErrors &&
+      net::Header(answer.head(), "Service-Not-Run") == "1";
+  if (is_refusal) {
+    return {Judgement::Kind::kFailed,
+            {ErrorId::kTargetFailed,
+             fmt::format("{} refused the call with status {}", target.id,
+                         answer.status()),
+             Verdict::kNotRun}};
+  }
+  return {Judgement::Kind::kRelay, {}};
+}
+
+net::http::response<net::http::empty_body> ServiceDialect::StreamHead(
+    const net::AnswerStream& answer, const Target& /*target*/) const {
+  return {answer.head().result(), net::kHttp11};
+}
+
+net::Response ServiceDialect::WholeAnswer(const net::AnswerStream& answer,
+                                          std::string body,
+                                          const Target& target) const {
+  net::Response out =
+      net::MakeResponse(answer.status(), std::move(body),
+                        net::Header(answer.head(), "Content-Type"));
+  out.set(kVerdictHeader, std::string(ToString(Verdict::kRan)));
+  out.set(kTargetHeader, target.id);
+  return out;
+}
+
+void ServiceDialect::OnAttemptEnd(const Target& target, const Error* error) {
+  const bool may_have_run =
+      error == nullptr || error->verdict != Verdict::kNotRun;
+  if (may_have_run) ++writes_;
+  if (error != nullptr) {
+    excluded_.push_back(targets().view.ids[pick_]);
+    if (!is_judged_) {
+      member().load->Suspect(RuntimeClock::now() + router::kSuspicion);
+    }
+  }
+  Span span{attempt_trace_,      "target", attempt_start_,
+            RuntimeClock::now(), error != nullptr, {}};
+  span.attributes.emplace_back("target", target.id);
+  node_.tracer().Finish(std::move(span));
+}
+
+bool ServiceDialect::MayTryAgain(Error& error, int attempts) {
+  const config::Defaults& defaults = context_.state->config->defaults;
+  const bool is_over = attempts >= defaults.max_attempts ||
+                       context_.TimeLeft() <= nanoseconds(0);
+  if (is_over) return false;
+  // Tries targets until one takes the first byte; never again after it.
+  if (call_.needs_claim()) return error.verdict == Verdict::kNotRun;
+  if (!node_.retry_budget().TryTake()) return false;
+  metrics_.retries.Add();
+  return true;
+}
+
+}  // namespace beryllane::caller
--- /dev/null
+++ b/src/caller/service_dialect.h
@@ -0,0 +1,70 @@
+/// @file
+/// Calls of the router's own interface to plain services.
+#ifndef BERYLLANE_SRC_CALLER_SERVICE_DIALECT_H_
+#define BERYLLANE_SRC_CALLER_SERVICE_DIALECT_H_
+
+#include <string>
+#include <vector>
+
+#include "src/caller/request_context.h"
+#include "src/caller/request_metrics.h"
+#include "src/caller/service_call.h"
+#include "src/exchange/engine.h"
+
+namespace beryllane::caller {
+
+/// One call's dialect; see `exchange::Dialect`. Repeats an idempotent call, or
+/// one whose key the service checks; a claimed call is written at most once.
+/// Not thread-safe.
+class ServiceDialect {
+ public:
+  /// @pre all references outlive the dialect.
+  ServiceDialect(net::Exchange& exchange, router::Node& node,
+                 RequestMetrics& metrics, const RequestContext& context,
+                 const ServiceCall& call, const std::string& body);
+  ~ServiceDialect();
+  ServiceDialect(const ServiceDialect&) = delete;
+  ServiceDialect& operator=(const ServiceDialect&) = delete;
+
+  Result<exchange::Target> Choose();
+  net::Request Encode(const exchange::Target& target) const;
+  net::CallOptions Options() const;
+  std::chrono::nanoseconds ProgressTimeout() const {
+    return context_.TimeLeft();
+  }
+  exchange::Judgement Judge(const net::AnswerStream& answer,
+                            const exchange::Target& target);
+  bool IsStream(const net::AnswerStream& /*answer*/) const { return false; }
+  Result<std::string> Feed(std::string bytes) const { return bytes; }
+  bool IsComplete() const { return false; }
+  Result<Done> OnStreamEnd() const { return Done{}; }
+  net::http::response<net::http::empty_body> StreamHead(
+      const net::AnswerStream& answer, const exchange::Target& target) const;
+  net::Response WholeAnswer(const net::AnswerStream& answer, std::string body,
+                            const exchange::Target& target) const;
+  void OnAttemptEnd(const exchange::Target& target, const Error* error);
+  bool MayTryAgain(Error& error, int attempts);
+
+ private:
+  const router::PoolTargets& targets() const;
+  const placement::Member& member() const;
+
+  net::Exchange& exchange_;
+  router::Node& node_;
+  RequestMetrics& metrics_;
+  const RequestContext& context_;
+  const ServiceCall& call_;
+  const std::string& body_;
+  std::vector<std::uint64_t> excluded_;
+  std::size_t pick_ = 0;
+  // Whether the target of this attempt answered.
+  bool is_judged_ = false;
+  // Attempts of which the target may have acted on.
+  int writes_ = 0;
+  telemetry::TraceContext attempt_trace_;
+  RuntimeClock::time_point attempt_start_;
+};
+
+}  // namespace beryllane::caller
+
+#endif  // BERYLLANE_SRC_CALLER_SERVICE_DIALECT_H_
--- a/src/caller/service_handler.cc
+++ b/src/caller/service_handler.cc
@@ -5,10 +5,10 @@
 #include <optional>
 #include <utility>
 
-#include "beryllane/invariant/invariant.h"
 #include "fmt/format.h"
 #include "src/caller/error_answer.h"
 #include "src/caller/service_call.h"
+#include "src/caller/service_dialect.h"
 #include "src/telemetry/log.h"
 
 namespace beryllane::caller {
@@ -21,7 +21,6 @@
 using telemetry::Span;
 using telemetry::TraceContext;
 
-constexpr int kServerErrors = 500;
 // Largest answer that is kept in the log for repeats of its key.
 constexpr std::size_t kMaxKeptBody = 4096;
 // Time after a request's deadline at which its attempt has surely ended.
@@ -50,7 +49,7 @@
     if (call_.needs_claim()) {
       end = co_await RunClaimed();
     } else {
-      end = co_await SendWithRetries();
+      end = co_await Send();
     }
     if (!end.answer) {
       metrics_.CountError(end.error);
@@ -102,7 +101,7 @@
                         "the deadline passed before the call was sent",
                         Verdict::kNotRun);
     }
-    CallEnd end = co_await SendUntilWritten();
+    CallEnd end = co_await Send();
     Settle(entry, end);
     co_return end;
   }
@@ -192,113 +191,20 @@
                         net::asio::detached);
   }
 
-  // Tries targets until one takes the first byte; never again after it.
-  awaitable<CallEnd> SendUntilWritten() {
-    const int max_attempts = context_.state->config->defaults.max_attempts;
+  awaitable<CallEnd> Send() {
+    ServiceDialect dialect(exchange_, node_, metrics_, context_, call_, body_);
+    exchange::Engine engine(exchange_, node_.loop(exchange_.loop()).client,
+                            &dialect);
+    exchange::Ending ending = co_await engine.Run();
     CallEnd end;
-    for (int attempt = 1; attempt <= max_attempts; ++attempt) {
-      end = co_await SendOnce(/*needs_new_connection=*/true);
-      const bool may_try_again = !end.answer &&
-                                 end.error.verdict == Verdict::kNotRun &&
-                                 end.error.id != ErrorId::kNoTarget &&
-                                 context_.TimeLeft() > nanoseconds(0);
-      if (!may_try_again) break;
-    }
-    BERYLLANE_INVARIANT("claimed-call-written-once", writes_ <= 1);
-    co_return end;
-  }
-
-  // Repeats an idempotent call, or one whose key the service checks.
-  awaitable<CallEnd> SendWithRetries() {
-    const config::Defaults& defaults = context_.state->config->defaults;
-    node_.retry_budget().Credit(defaults.retry_budget);
-    CallEnd end;
-    for (int attempt = 1;; ++attempt) {
-      end = co_await SendOnce(/*needs_new_connection=*/false);
-      const bool is_over = end.answer || attempt >= defaults.max_attempts ||
-                           end.error.id == ErrorId::kNoTarget ||
-                           context_.TimeLeft() <= nanoseconds(0);
-      if (is_over || !node_.retry_budget().TryTake()) break;
-      metrics_.retries.Add();
-    }
-    co_return end;
-  }
-
-  awaitable<CallEnd> SendOnce(bool needs_new_connection) {
-    const router::PoolTargets& targets = context_.state->pools.at(call_.pool);
-    const auto pick = placement::PickLeastOfTwo(
-        targets.view, telemetry::RandomId(), excluded_, RuntimeClock::now());
-    if (!pick) {
-      if (!excluded_.empty()) co_return last_failure_;
-      co_return Failure(ErrorId::kNoTarget,
-                        fmt::format("pool {} has no target", call_.pool),
-                        Verdict::kNotRun);
-    }
-    const placement::Member& member = targets.view.members[*pick];
-    metrics_.attempts.Add();
-    const TraceContext trace = telemetry::Tracer::Child(context_.trace);
-    const auto start = RuntimeClock::now();
-    net::CallOptions options;
-    options.connect_timeout = context_.state->config->defaults.connect_timeout;
-    options.answer_timeout = context_.TimeLeft();
-    options.needs_new_connection = needs_new_connection;
-    net::Request request = MakeTargetRequest(trace);
-    auto result =
-        co_await node_.loop(exchange_.loop())
-            .client.Call(targets.addresses[*pick], std::move(request), options);
-    CallEnd end = Judge(std::move(result), member);
-    Span span{trace, "target", start, RuntimeClock::now(), !end.answer, {}};
-    span.attributes.emplace_back("target", member.id);
-    node_.tracer().Finish(std::move(span));
-    if (!end.answer) {
-      excluded_.push_back(targets.view.ids[*pick]);
-      last_failure_ = end;
+    if (ending.kind == exchange::Ending::Kind::kAnswer) {
+      end.answer = std::move(ending.answer);
+    } else {
+      end.error = std::move(ending.error);
     }
     co_return end;
   }
 
-  net::Request MakeTargetRequest(const TraceContext& trace) const {
-    const net::Request& received = exchange_.request();
-    net::Request request =
-        net::MakeRequest(received.method(), call_.path, body_,
-                         net::Header(received, "Content-Type"));
-    request.set(kRequestIdHeader, context_.id);
-    request.set("traceparent", telemetry::ToTraceparent(trace));
-    request.set("Beryllane-Account", context_.account);
-    if (!call_.key.empty()) request.set(kKeyHeader, call_.key);
-    const std::string_view accept = net::Header(received, "Accept");
-    if (!accept.empty()) request.set("Accept", std::string(accept));
-    return request;
-  }
-
-  CallEnd Judge(Result<net::Response> result, const placement::Member& member) {
-    if (!result.ok()) {
-      Error error = result.error();
-      error.message = member.id + ": " + error.message;
-      if (error.verdict != Verdict::kNotRun) ++writes_;
-      member.load->Suspect(RuntimeClock::now() + router::kSuspicion);
-      return {std::nullopt, std::move(error)};
-    }
-    member.load->Trust();
-    net::Response& answer = result.value();
-    // The service itself proves that it did not act.
-    const bool is_refusal = answer.result_int() >= kServerErrors &&
-                            net::Header(answer, "Service-Not-Run") == "1";
-    if (is_refusal) {
-      return Failure(ErrorId::kTargetFailed,
-                     fmt::format("{} refused the call with status {}",
-                                 member.id, answer.result_int()),
-                     Verdict::kNotRun);
-    }
-    ++writes_;
-    net::Response out = net::MakeResponse(static_cast<int>(answer.result_int()),
-                                          std::move(answer.body()),
-                                          net::Header(answer, "Content-Type"));
-    out.set(kVerdictHeader, std::string(ToString(Verdict::kRan)));
-    out.set(kTargetHeader, member.id);
-    return {std::move(out), {}};
-  }
-
   static CallEnd Failure(ErrorId id, std::string message, Verdict verdict) {
     return {std::nullopt, Error{id, std::move(message), verdict}};
   }
@@ -309,10 +215,6 @@
   const RequestContext& context_;
   ServiceCall call_;
   std::string body_;
-  std::vector<std::uint64_t> excluded_;
-  CallEnd last_failure_;
-  // Attempts of which the target may have acted on.
-  int writes_ = 0;
 };
 
 }  // namespace
--- /dev/null
+++ b/src/coordination/prefix_policy.cc
@@ -0,0 +1,98 @@
+#include "beryllane/placement/prefix_policy.h"
+
+#include <algorithm>
+#include <numeric>
+
+#include "beryllane/placement/rendezvous.h"
+
+namespace beryllane::placement {
+namespace {
+
+using Millis = std::chrono::duration<double, std::milli>;
+
+// Copies between zones take twice as long, between regions ten times.
+double LinkFactor(const PrefixCandidate& a, const PrefixCandidate& b) {
+  constexpr double kOtherZone = 2;
+  constexpr double kOtherRegion = 10;
+  if (a.zone == b.zone) return 1;
+  return a.region == b.region ? kOtherZone : kOtherRegion;
+}
+
+double CopyMillis(const PrefixQuery& query, double tokens, double factor) {
+  constexpr double kBitsPerByte = 8;
+  constexpr double kMegabitsPerSecondInBitsPerMs = 1000;
+  const double bits =
+      tokens * static_cast<double>(query.kv_bytes_per_token) * kBitsPerByte;
+  return factor * bits / (query.link_mbps * kMegabitsPerSecondInBitsPerMs);
+}
+
+}  // namespace
+
+PrefixDecision ChooseByPrefix(const std::vector<PrefixCandidate>& candidates,
+                              const PrefixQuery& query,
+                              const PrefixWeights& weights) {
+  std::vector<std::size_t> ranked(candidates.size());
+  std::iota(ranked.begin(), ranked.end(), 0);
+  std::sort(ranked.begin(), ranked.end(), [&](std::size_t a, std::size_t b) {
+    return Score(query.home_key, candidates[a].id_hash) >
+           Score(query.home_key, candidates[b].id_hash);
+  });
+  const auto assumed_held = [&](std::size_t rank) {
+    const PrefixCandidate& candidate = candidates[ranked[rank]];
+    return rank == 0 ? query.shared_tokens : candidate.held_tokens;
+  };
+  PrefixDecision best;
+  bool has_best = false;
+  for (std::size_t rank = 0; rank < ranked.size(); ++rank) {
+    const PrefixCandidate& candidate = candidates[ranked[rank]];
+    double price = candidate.wait.count() + candidate.stale_penalty.count() +
+                   weights.rank_ms * static_cast<double>(rank);
+    if (candidate.distance == Distance::kOtherRegion) {
+      price += weights.other_region_ms;
+    } else if (candidate.distance == Distance::kSameRegion) {
+      price += weights.same_region_ms;
+    }
+    // The nearest of those that hold most is the source of a copy.
+    std::optional<std::size_t> source;
+    double source_held = candidate.held_tokens;
+    double source_factor = 0;
+    for (std::size_t other = 0; other < ranked.size(); ++other) {
+      if (other == rank) continue;
+      const double held = assumed_held(other);
+      const double factor = LinkFactor(candidate, candidates[ranked[other]]);
+      const bool is_better =
+          held > source_held ||
+          (source && held == source_held && factor < source_factor);
+      if (!is_better) continue;
+      source = ranked[other];
+      source_held = held;
+      source_factor = factor;
+    }
+    const double assumed = assumed_held(rank);
+    const double missing = query.shared_tokens - assumed;
+    if (missing > 0) {
+      const double read_price =
+          missing / weights.tokens_per_ms +
+          missing / 1000 * weights.reread_ms_per_thousand;
+      const double copy_price =
+          source ? CopyMillis(query, source_held - assumed, source_factor)
+                 : read_price;
+      price += std::min(read_price, copy_price);
+    }
+    if (has_best && price >= best.price.count()) continue;
+    has_best = true;
+    best.index = ranked[rank];
+    best.price = Millis(price);
+    best.fetch_from = source;
+  }
+  // The home of a part that it is not known to hold asks the next in rank,
+  // which was the home while this one was away; a miss costs little.
+  const PrefixCandidate& chosen = candidates[best.index];
+  if (!best.fetch_from && chosen.held_tokens < query.shared_tokens &&
+      ranked.size() > 1) {
+    best.fetch_from = ranked[best.index == ranked[0] ? 1 : 0];
+  }
+  return best;
+}
+
+}  // namespace beryllane::placement
--- a/src/coordination/runtime_clock.cc
+++ b/src/coordination/runtime_clock.cc
@@ -1,9 +1,13 @@
 #include "beryllane/clock/runtime_clock.h"
 
+#include <time.h>
+
 #include <algorithm>
 #include <atomic>
 #include <mutex>
 
+#include "beryllane/clock/boot_clock.h"
+
 namespace beryllane {
 namespace {
 
@@ -71,6 +75,14 @@
   }
 }
 
+BootClock::time_point BootClock::now() {
+  timespec boot{};
+  clock_gettime(CLOCK_BOOTTIME, &boot);
+  const nanoseconds shift = RuntimeClock::now().time_since_epoch() - SteadyNow();
+  return time_point(std::chrono::seconds(boot.tv_sec) +
+                    nanoseconds(boot.tv_nsec) + shift);
+}
+
 bool RuntimeClock::IsPaused() { return GetState().paused.load(); }
 
 RuntimeClock::duration RuntimeWaitTraits::to_wait_duration(
--- /dev/null
+++ b/src/fleet/event_relay.cc
@@ -0,0 +1,64 @@
+#include "src/fleet/event_relay.h"
+
+#include <charconv>
+
+#include "fmt/format.h"
+
+namespace beryllane::fleet {
+namespace {
+
+constexpr std::string_view kEventEnd = "\n\n";
+
+// The id of an event, from its line `id: N`.
+std::optional<std::uint64_t> IdOf(std::string_view event) {
+  constexpr std::string_view kName = "id:";
+  while (!event.empty()) {
+    const std::size_t end = event.find('\n');
+    std::string_view line = event.substr(0, end);
+    if (line.starts_with(kName)) {
+      line.remove_prefix(kName.size());
+      while (line.starts_with(' ')) line.remove_prefix(1);
+      std::uint64_t id = 0;
+      const auto [last, error] =
+          std::from_chars(line.data(), line.data() + line.size(), id);
+      if (error == std::errc()) return id;
+      return std::nullopt;
+    }
+    if (end == std::string_view::npos) return std::nullopt;
+    event.remove_prefix(end + 1);
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+Result<std::string> EventRelay::Feed(std::string_view bytes) {
+  partial_ += bytes;
+  std::string out;
+  std::string_view rest = partial_;
+  for (;;) {
+    const std::size_t end = rest.find(kEventEnd);
+    if (end == std::string_view::npos) break;
+    const std::string_view event = rest.substr(0, end + kEventEnd.size());
+    rest.remove_prefix(event.size());
+    const auto id = IdOf(event);
+    const bool is_known = id && last_id_ && *id <= *last_id_;
+    if (is_known) continue;
+    if (id && last_id_ && *id != *last_id_ + 1) {
+      return Error{ErrorId::kTargetAnswerInvalid,
+                   fmt::format("event {} came after {}", *id, *last_id_),
+                   Verdict::kRan};
+    }
+    if (id) last_id_ = id;
+    out += event;
+  }
+  if (rest.size() > kMaxEventBytes) {
+    return Error{ErrorId::kTargetAnswerInvalid,
+                 fmt::format("an event is over {} bytes", kMaxEventBytes),
+                 Verdict::kRan};
+  }
+  partial_.erase(0, partial_.size() - rest.size());
+  return out;
+}
+
+}  // namespace beryllane::fleet
--- /dev/null
+++ b/src/fleet/fleet.cc
@@ -0,0 +1,155 @@
+#include "src/fleet/fleet.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "beryllane/hash/hash.h"
+
+namespace beryllane::fleet {
+namespace {
+
+using std::chrono::milliseconds;
+
+// First pause after a target failed to answer; doubles with each failure.
+constexpr milliseconds kFirstSuspicion{400};
+constexpr int kMaxDoublings = 3;
+// Half-life of what a target reported of other routers' requests.
+constexpr double kReportHalfLifeMs = 400;
+// Share of a runner's memory that cached parts can count on beside running
+// requests.
+constexpr double kCacheShare = 0.6;
+
+}  // namespace
+
+std::uint64_t Runner::VersionOf(const std::string& model) const {
+  const auto it = entry.weights.find(model);
+  return it == entry.weights.end() ? 0 : it->second;
+}
+
+void Runner::LearnVersion(const std::string& model, std::uint64_t version) {
+  std::uint64_t& known = entry.weights[model];
+  if (version <= known) return;
+  known = version;
+  cache.Clear();
+}
+
+double Runner::EstimatedLoad(RuntimeClock::time_point now) const {
+  const double others =
+      std::max(0, reported_running - own_running_at_report);
+  const double age_ms =
+      std::chrono::duration<double, std::milli>(now - reported_at).count();
+  return own_running + others * std::exp2(-age_ms / kReportHalfLifeMs);
+}
+
+void Runner::ReportLoad(int running, int waiting,
+                        RuntimeClock::time_point now) {
+  reported_running = running + waiting;
+  own_running_at_report = own_running;
+  reported_at = now;
+}
+
+void Runner::Suspect(RuntimeClock::time_point now) {
+  suspect_until =
+      now + kFirstSuspicion * (1 << std::min(failures_in_row, kMaxDoublings));
+  ++failures_in_row;
+}
+
+bool Fleet::SetConfig(FleetConfig config) {
+  if (config_ && config.version <= config_->version) return false;
+  config_ = std::make_shared<const FleetConfig>(std::move(config));
+  return true;
+}
+
+void Fleet::SetTarget(TargetEntry entry) {
+  std::shared_ptr<Runner>& runner = targets_[entry.id];
+  if (runner && entry.born < runner->entry.born) return;
+  const bool is_same = runner && runner->entry.born == entry.born &&
+                       runner->entry.address == entry.address;
+  if (is_same) {
+    // The list lags behind what answers and orders showed.
+    for (auto& [model, version] : runner->entry.weights) {
+      std::uint64_t& listed = entry.weights[model];
+      if (listed > version) runner->cache.Clear();
+      listed = std::max(listed, version);
+    }
+    entry.is_draining = entry.is_draining || runner->entry.is_draining;
+    entry.order_count = std::max(entry.order_count, runner->entry.order_count);
+    runner->entry = std::move(entry);
+    return;
+  }
+  runner = std::make_shared<Runner>();
+  runner->id_hash = HashBytes(entry.id).low;
+  if (config_) {
+    const auto service = config_->services.find(entry.service);
+    if (service != config_->services.end() && service->second.engine) {
+      runner->cache.set_capacity(static_cast<std::uint64_t>(
+          kCacheShare * static_cast<double>(
+                            service->second.engine->kv_capacity_tokens)));
+    }
+  }
+  runner->entry = std::move(entry);
+}
+
+void Fleet::RemoveTarget(const std::string& id) {
+  const auto it = targets_.find(id);
+  if (it == targets_.end()) return;
+  it->second->entry.is_draining = true;
+  targets_.erase(it);
+}
+
+std::vector<std::shared_ptr<Runner>> Fleet::Takers(
+    const std::string& service) const {
+  std::vector<std::shared_ptr<Runner>> takers;
+  for (const auto& [id, runner] : targets_) {
+    if (runner->entry.service == service && !runner->entry.is_draining) {
+      takers.push_back(runner);
+    }
+  }
+  return takers;
+}
+
+bool Fleet::SetGoal(const DesiredWeights& weights) {
+  WeightsGoal& goal = goals_[weights.model];
+  if (weights.version <= goal.version) return false;
+  goal = {weights.version, BootClock::now()};
+  return true;
+}
+
+WeightsGoal Fleet::GoalOf(const std::string& model) const {
+  const auto it = goals_.find(model);
+  return it == goals_.end() ? WeightsGoal{} : it->second;
+}
+
+RetryWindow& Fleet::BudgetOf(const std::string& service) {
+  return budgets_.try_emplace(service, retry_share_).first->second;
+}
+
+const Route* FindRoute(const FleetConfig& config, std::string_view host,
+                       std::string_view path) {
+  const Route* best = nullptr;
+  for (const Route& route : config.routes) {
+    if (route.host != host || !path.starts_with(route.path_prefix)) continue;
+    const bool is_longer =
+        best == nullptr ||
+        route.path_prefix.size() > best->path_prefix.size();
+    if (is_longer) best = &route;
+  }
+  return best;
+}
+
+const std::string& PickService(const Route& route,
+                               std::string_view request_id) {
+  double total = 0;
+  for (const TrafficShare& share : route.shares) total += share.weight;
+  constexpr double kHashRange = 18446744073709551616.0;
+  double point =
+      static_cast<double>(HashBytes(request_id).low) / kHashRange * total;
+  for (const TrafficShare& share : route.shares) {
+    point -= share.weight;
+    if (point < 0 && share.weight > 0) return share.service;
+  }
+  return route.shares.back().service;
+}
+
+}  // namespace beryllane::fleet
--- /dev/null
+++ b/src/fleet/fleet.h
@@ -0,0 +1,120 @@
+/// @file
+/// A router's belief about the fleet: the configuration in force, the targets
+/// and what is known of each.
+#ifndef BERYLLANE_SRC_FLEET_FLEET_H_
+#define BERYLLANE_SRC_FLEET_FLEET_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "beryllane/clock/boot_clock.h"
+#include "beryllane/clock/runtime_clock.h"
+#include "beryllane/limit/retry_window.h"
+#include "src/fleet/model.h"
+#include "src/fleet/part_cache.h"
+
+namespace beryllane::fleet {
+
+/// One target and what this router knows of it.
+struct Runner {
+  TargetEntry entry;
+  std::uint64_t id_hash = 0;
+  /// Requests of this router that run there.
+  int own_running = 0;
+  /// Prompt tokens of this router's requests that have no answer yet.
+  std::uint64_t own_unread_tokens = 0;
+  /// What the target last told of its load, and when.
+  int reported_running = 0;
+  int own_running_at_report = 0;
+  RuntimeClock::time_point reported_at;
+  /// Not chosen before this time, because it failed to answer.
+  RuntimeClock::time_point suspect_until;
+  int failures_in_row = 0;
+  /// Not chosen before this time, because it takes new weights.
+  RuntimeClock::time_point switching_until;
+  /// Full when last asked; not chosen before this time where others are free.
+  RuntimeClock::time_point full_until;
+  PartCache cache;
+
+  /// Weights version of a model; 0 where unknown. @pre none.
+  std::uint64_t VersionOf(const std::string& model) const;
+  /// Raises the believed version of a model and forgets what was cached under
+  /// the older one. @pre none.
+  void LearnVersion(const std::string& model, std::uint64_t version);
+  /// Requests that run or wait there by the best guess. @pre none.
+  double EstimatedLoad(RuntimeClock::time_point now) const;
+  /// Notes an answer's load figures. @pre none.
+  void ReportLoad(int running, int waiting, RuntimeClock::time_point now);
+  /// Notes that it cannot be reached. @pre none.
+  void Suspect(RuntimeClock::time_point now);
+  /// Notes that it answered. @pre none.
+  void Trust() {
+    failures_in_row = 0;
+    suspect_until = {};
+  }
+};
+
+/// Weights that the operator named, and since when this router knows.
+struct WeightsGoal {
+  std::uint64_t version = 0;
+  BootClock::time_point known_since;
+};
+
+/// Not thread-safe: used on the router's loop alone. Runners are shared so
+/// that requests under way outlive a removal.
+class Fleet {
+ public:
+  /// Installs a configuration; false where it is not newer. @pre none.
+  bool SetConfig(FleetConfig config);
+  /// The configuration in force; null before the first. It stays unchanged for
+  /// as long as it is held. @pre none.
+  std::shared_ptr<const FleetConfig> config() const { return config_; }
+
+  /// Adds or changes a target. An older incarnation never replaces a newer.
+  /// @pre none.
+  void SetTarget(TargetEntry entry);
+  /// Removes a target. @pre none.
+  void RemoveTarget(const std::string& id);
+  /// All targets by id. @pre none.
+  const std::map<std::string, std::shared_ptr<Runner>>& targets() const {
+    return targets_;
+  }
+  /// Targets of a service that take new requests. @pre none.
+  std::vector<std::shared_ptr<Runner>> Takers(const std::string& service) const;
+
+  /// Raises the weights wanted for a model; false where not newer. @pre none.
+  bool SetGoal(const DesiredWeights& weights);
+  /// Weights wanted for a model; version 0 where none. @pre none.
+  WeightsGoal GoalOf(const std::string& model) const;
+  const std::map<std::string, WeightsGoal>& goals() const { return goals_; }
+
+  /// Retry budget of a service. @pre none.
+  RetryWindow& BudgetOf(const std::string& service);
+  /// Sets the share of the budget that each service gets. @pre none.
+  void set_retry_share(RetryShare share) { retry_share_ = share; }
+
+ private:
+  std::shared_ptr<const FleetConfig> config_;
+  std::map<std::string, std::shared_ptr<Runner>> targets_;
+  std::map<std::string, WeightsGoal> goals_;
+  std::map<std::string, RetryWindow> budgets_;
+  RetryShare retry_share_;
+};
+
+/// The route of a host name and path: the longest prefix that begins the path;
+/// null where there is none. @pre none. Thread-safe. Complexity: linear in the
+/// number of routes.
+const Route* FindRoute(const FleetConfig& config, std::string_view host,
+                       std::string_view path);
+
+/// The service that a request takes by the route's traffic shares. One request
+/// id always takes the same. @pre `route` has a share. Thread-safe.
+const std::string& PickService(const Route& route, std::string_view request_id);
+
+}  // namespace beryllane::fleet
+
+#endif  // BERYLLANE_SRC_FLEET_FLEET_H_
--- /dev/null
+++ b/src/fleet/fleet_front.cc
@@ -0,0 +1,230 @@
+#include "src/fleet/fleet_front.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "fmt/format.h"
+#include "src/caller/error_answer.h"
+#include "src/telemetry/log.h"
+
+namespace beryllane::fleet {
+namespace {
+
+using exchange::Ending;
+using net::asio::awaitable;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+using telemetry::Level;
+
+// A check of a credential and the sending of its request lie this close.
+constexpr milliseconds kRevocationMargin{200};
+// A caller that comes back meets another host or a freed slot by then.
+constexpr std::string_view kRetryAfterSeconds = "0.2";
+constexpr int kUnavailable = 503;
+constexpr int kBadGateway = 502;
+
+Error Refusal(ErrorId id, std::string message) {
+  return {id, std::move(message), Verdict::kNotRun};
+}
+
+// A refusal promises that the request did not run; any other failure must not.
+int StatusOf(const Error& error) {
+  constexpr int kServerErrors = 500;
+  const int status = HttpStatus(error.id);
+  if (status < kServerErrors) return status;
+  if (error.verdict == Verdict::kNotRun) return kUnavailable;
+  return status == kUnavailable ? kBadGateway : status;
+}
+
+}  // namespace
+
+FleetFront::FleetFront(const platform::Settings& settings,
+                       net::HttpClient& client, Fleet& fleet,
+                       const StoreFollower& follower, MetricRegistry& metrics)
+    : settings_(settings),
+      client_(client),
+      fleet_(fleet),
+      follower_(follower),
+      place_{settings.availability_zone, settings.region,
+             settings.region_of_zone},
+      metrics_(metrics) {}
+
+bool FleetFront::IsFreshEnough() const {
+  if (!settings_.bounds.is_revocation_strict) return true;
+  return follower_.freshness().IsWithin(
+      settings_.bounds.revocation - kRevocationMargin, BootClock::now());
+}
+
+bool FleetFront::IsReady(std::string& reason) const {
+  if (is_stopping_) {
+    reason = "the router is stopping";
+  } else if (!fleet_.config()) {
+    reason = "no configuration yet";
+  } else if (!follower_.has_targets()) {
+    reason = "no list of targets yet";
+  } else if (!IsFreshEnough()) {
+    reason = "the store has not confirmed the configuration for too long";
+  } else {
+    return true;
+  }
+  return false;
+}
+
+Result<const Account*> FleetFront::Authenticate(
+    const FleetConfig& config, const Route& route,
+    const std::string& credential) const {
+  if (!config.needs_credentials || route.is_public) return nullptr;
+  if (!IsFreshEnough()) {
+    return Refusal(ErrorId::kNotReady,
+                   "credentials cannot be checked: the store has not "
+                   "confirmed the configuration for too long");
+  }
+  const auto account = config.account_by_credential.find(credential);
+  if (account == config.account_by_credential.end()) {
+    return Refusal(ErrorId::kNotAuthenticated,
+                   "the credential belongs to no client account");
+  }
+  return &config.accounts[account->second];
+}
+
+Result<RoutedRequest> FleetFront::Admit(const net::Exchange& exchange) {
+  RoutedRequest routed;
+  routed.config = fleet_.config();
+  if (!routed.config || !follower_.has_targets()) {
+    return Refusal(ErrorId::kNotReady, "no configuration yet");
+  }
+  auto request = platform::DecodeRequest(exchange.request());
+  if (!request.ok()) return request.error();
+  routed.request = std::move(request.value());
+  routed.route =
+      FindRoute(*routed.config, routed.request.host, routed.request.path);
+  if (routed.route == nullptr) {
+    if (!IsFreshEnough()) {
+      return Refusal(ErrorId::kNotReady, "the configuration may be outdated");
+    }
+    return Refusal(ErrorId::kNoSuchPath,
+                   fmt::format("no route for host \"{}\" and path \"{}\"",
+                               routed.request.host, routed.request.path));
+  }
+  auto account = Authenticate(*routed.config, *routed.route,
+                              routed.request.credential);
+  if (!account.ok()) return account.error();
+  routed.account = account.value();
+  const std::string& name = PickService(*routed.route, routed.request.id);
+  const auto service = routed.config->services.find(name);
+  if (service == routed.config->services.end()) {
+    return Refusal(ErrorId::kNoTarget,
+                   fmt::format("service {} is not configured", name));
+  }
+  routed.service = &service->second;
+  routed.started = exchange.started();
+  const milliseconds patience =
+      std::min(routed.request.deadline.value_or(routed.route->timeout),
+               routed.route->timeout);
+  routed.limit = routed.started + patience;
+  return routed;
+}
+
+awaitable<void> FleetFront::Handle(net::Exchange& exchange) {
+  using net::asio::experimental::awaitable_operators::operator||;
+  if (is_stopping_) exchange.CloseAfter();
+  if (platform::IsFramingAmbiguous(exchange.request())) {
+    exchange.CloseAfter();
+    co_await SendError(exchange, "",
+                       Refusal(ErrorId::kMalformedHttp,
+                               "the only transfer encoding taken is chunked"));
+    co_return;
+  }
+  auto admitted = Admit(exchange);
+  if (!admitted.ok()) {
+    co_await SendError(exchange, "", admitted.error());
+    co_return;
+  }
+  RoutedRequest& routed = admitted.value();
+  routed.body = exchange.TakeBody();
+  metrics_.requests.Add();
+  fleet_.BudgetOf(routed.service->name).CountRequest(RuntimeClock::now());
+  RunnerDialect dialect(fleet_, place_, metrics_, exchange.request(), routed);
+  exchange::Engine engine(exchange, client_, &dialect);
+  auto raced = co_await (engine.Run() || exchange.WaitForClose());
+  Ending ending;
+  ending.kind = Ending::Kind::kCallerGone;
+  if (raced.index() == 0) ending = std::move(std::get<0>(raced));
+  LogEnd(routed, dialect, ending);
+  switch (ending.kind) {
+    case Ending::Kind::kAnswer:
+      metrics_.answered.Add();
+      co_await exchange.Respond(std::move(ending.answer));
+      break;
+    case Ending::Kind::kStreamed:
+      metrics_.answered.Add();
+      break;
+    case Ending::Kind::kCallerGone:
+      metrics_.caller_gone.Add();
+      exchange.CloseAfter();
+      break;
+    case Ending::Kind::kFailed:
+      // A stream that broke off must not look complete: its connection closes
+      // without the end mark.
+      if (exchange.is_started()) {
+        metrics_.failed.Add();
+        exchange.CloseAfter();
+      } else {
+        co_await SendError(exchange, routed.request.id, ending.error);
+      }
+      break;
+  }
+}
+
+void FleetFront::LogEnd(const RoutedRequest& routed,
+                        const RunnerDialect& dialect,
+                        const Ending& ending) const {
+  constexpr std::string_view kNames[] = {"answered", "streamed", "caller-gone",
+                                         "failed"};
+  const auto took = RuntimeClock::now() - routed.started;
+  const auto age = follower_.freshness().Age(BootClock::now());
+  nlohmann::json fields{
+      {"request", routed.request.id},
+      {"outcome", kNames[static_cast<int>(ending.kind)]},
+      {"route", routed.route->name},
+      {"account", routed.account == nullptr ? "" : routed.account->name},
+      {"service", routed.service->name},
+      {"target", dialect.last_target()},
+      {"attempts", dialect.attempts()},
+      {"took_ms", duration_cast<milliseconds>(took).count()},
+      {"config", routed.config->version},
+      {"config_age_ms",
+       age ? duration_cast<milliseconds>(*age).count() : -1}};
+  if (ending.kind == Ending::Kind::kAnswer) {
+    fields["status"] = ending.answer.result_int();
+  }
+  if (ending.kind == Ending::Kind::kFailed) {
+    fields["error"] = Name(ending.error.id);
+    fields["message"] = ending.error.message;
+    fields["verdict"] = ToString(ending.error.verdict);
+  }
+  telemetry::Log(Level::kInfo, telemetry::event::kRequestDone,
+                 std::move(fields));
+}
+
+awaitable<void> FleetFront::SendError(net::Exchange& exchange,
+                                      const std::string& request_id,
+                                      Error error) {
+  const int status = StatusOf(error);
+  net::Response answer = caller::ErrorAnswer(error);
+  answer.result(static_cast<unsigned>(status));
+  if (status == kUnavailable) {
+    answer.set(net::http::field::retry_after, std::string(kRetryAfterSeconds));
+  }
+  (error.verdict == Verdict::kNotRun ? metrics_.refused : metrics_.failed)
+      .Add();
+  if (request_id.empty()) {
+    telemetry::Log(Level::kInfo, telemetry::event::kRequestFailed,
+                   {{"error", Name(error.id)},
+                    {"message", error.message},
+                    {"status", status}});
+  }
+  co_await exchange.Respond(std::move(answer));
+}
+
+}  // namespace beryllane::fleet
--- /dev/null
+++ b/src/fleet/fleet_front.h
@@ -0,0 +1,56 @@
+/// @file
+/// Serves the platform's callers.
+#ifndef BERYLLANE_SRC_FLEET_FLEET_FRONT_H_
+#define BERYLLANE_SRC_FLEET_FLEET_FRONT_H_
+
+#include <chrono>
+#include <functional>
+
+#include "platform/settings.h"
+#include "src/exchange/engine.h"
+#include "src/fleet/fleet.h"
+#include "src/fleet/runner_dialect.h"
+#include "src/fleet/store_follower.h"
+#include "src/net/http_server.h"
+
+namespace beryllane::fleet {
+
+/// Admits, routes and answers requests. Used on one loop.
+class FleetFront {
+ public:
+  /// @pre all references outlive the front.
+  FleetFront(const platform::Settings& settings, net::HttpClient& client,
+             Fleet& fleet, const StoreFollower& follower,
+             MetricRegistry& metrics);
+
+  /// Answers one request. @pre on the front's loop.
+  net::asio::awaitable<void> Handle(net::Exchange& exchange);
+  /// Whether requests can be served; if not, `reason` says why. @pre none.
+  bool IsReady(std::string& reason) const;
+  /// Answers close their connections and readiness ends. @pre none.
+  void SetStopping() { is_stopping_ = true; }
+
+ private:
+  Result<RoutedRequest> Admit(const net::Exchange& exchange);
+  Result<const Account*> Authenticate(const FleetConfig& config,
+                                      const Route& route,
+                                      const std::string& credential) const;
+  bool IsFreshEnough() const;
+  net::asio::awaitable<void> SendError(net::Exchange& exchange,
+                                       const std::string& request_id,
+                                       Error error);
+  void LogEnd(const RoutedRequest& routed, const RunnerDialect& dialect,
+              const exchange::Ending& ending) const;
+
+  const platform::Settings& settings_;
+  net::HttpClient& client_;
+  Fleet& fleet_;
+  const StoreFollower& follower_;
+  Place place_;
+  FleetMetrics metrics_;
+  bool is_stopping_ = false;
+};
+
+}  // namespace beryllane::fleet
+
+#endif  // BERYLLANE_SRC_FLEET_FLEET_FRONT_H_
--- /dev/null
+++ b/src/fleet/fleet_node.cc
@@ -0,0 +1,192 @@
+#include "src/fleet/fleet_node.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <utility>
+
+#include "platform/config_codec.h"
+#include "src/caller/error_answer.h"
+#include "src/telemetry/log.h"
+
+namespace beryllane::fleet {
+namespace {
+
+using net::asio::awaitable;
+using std::chrono::milliseconds;
+using telemetry::Level;
+
+// A holder stops this long after its newest record; a renewal is sent well
+// before that.
+constexpr milliseconds kLeaseHold{1200};
+constexpr milliseconds kLeaseMargin{200};
+// The balancer asks once a second and takes a host out after two misses.
+constexpr milliseconds kBalancerNotices{2600};
+// Part of the grace time that is left for the end of the process.
+constexpr milliseconds kExitMargin{400};
+// Hosts that may share the retry budget; the fleet's size is not known.
+constexpr double kBudgetHosts = 8;
+// Part of the budget that is left unused for what counts differently.
+constexpr double kBudgetShare = 0.8;
+
+lease::Terms LeaseTerms(const platform::Bounds& bounds) {
+  return {kLeaseHold, bounds.lease, kLeaseMargin};
+}
+
+net::Response PlainAnswer(int status, std::string text) {
+  return net::MakeResponse(status, std::move(text), "text/plain");
+}
+
+}  // namespace
+
+FleetNode::FleetNode(platform::Settings settings, std::string settings_path,
+                     std::uint16_t metrics_port)
+    : settings_(std::move(settings)),
+      settings_path_(std::move(settings_path)),
+      metrics_port_(metrics_port),
+      client_(pool_.at(0)),
+      store_http_(pool_.at(0)),
+      store_(store_http_, settings_.store, metrics_),
+      follower_(
+          store_, fleet_, [this] { ApplyLimits(); }, [] {}),
+      rollout_(store_, client_, fleet_, settings_.host_id,
+               LeaseTerms(settings_.bounds), metrics_),
+      front_(settings_, client_, fleet_, follower_, metrics_),
+      callers_(
+          pool_, {}, [this](net::Exchange& e) { return front_.Handle(e); },
+          caller::ErrorAnswer),
+      ready_(
+          pool_, {}, [this](net::Exchange& e) { return AnswerReady(e); },
+          caller::ErrorAnswer),
+      metrics_server_(
+          pool_, {}, [this](net::Exchange& e) { return AnswerMetrics(e); },
+          caller::ErrorAnswer) {
+  ShareBudget();
+}
+
+void FleetNode::ShareBudget() {
+  RetryShare share;
+  share.ratio = settings_.bounds.retry_ratio * kBudgetShare;
+  share.slack = settings_.bounds.retry_slack * kBudgetShare / kBudgetHosts;
+  share.window = settings_.bounds.retry_window;
+  fleet_.set_retry_share(share);
+}
+
+Result<Done> FleetNode::Run() {
+  auto listening = callers_.Listen(settings_.caller_listen);
+  if (!listening.ok()) return listening.error();
+  listening = ready_.Listen(settings_.ready_listen);
+  if (!listening.ok()) return listening.error();
+  if (metrics_port_ != 0) {
+    listening = metrics_server_.Listen({settings_.ip, metrics_port_});
+    if (!listening.ok()) return listening.error();
+  }
+  telemetry::Log(Level::kInfo, telemetry::event::kStarted,
+                 {{"listen", net::ToString(settings_.caller_listen)},
+                  {"store", net::ToString(settings_.store)},
+                  {"availability_zone", settings_.availability_zone},
+                  {"region", settings_.region}});
+  net::asio::io_context& loop = pool_.at(0);
+  using net::asio::co_spawn;
+  using net::asio::detached;
+  co_spawn(loop, follower_.FollowOperator(), detached);
+  co_spawn(loop, follower_.FollowTargets(), detached);
+  co_spawn(loop, rollout_.Run(), detached);
+  co_spawn(loop, WatchReadiness(), detached);
+  co_spawn(loop, AwaitStop(), detached);
+  co_spawn(loop, AwaitReload(), detached);
+  loop.run();
+  telemetry::Log(Level::kInfo, telemetry::event::kStopped,
+                 {{"cut", callers_.running()}});
+  return Done{};
+}
+
+awaitable<void> FleetNode::AnswerReady(net::Exchange& exchange) {
+  std::string reason;
+  const bool is_ready = front_.IsReady(reason);
+  net::Response answer = PlainAnswer(is_ready ? 200 : 503, reason);
+  co_await exchange.Respond(std::move(answer));
+}
+
+awaitable<void> FleetNode::AnswerMetrics(net::Exchange& exchange) {
+  net::Response answer = net::MakeResponse(200, metrics_.Print(),
+                                           "text/plain; version=0.0.4");
+  co_await exchange.Respond(std::move(answer));
+}
+
+awaitable<void> FleetNode::WatchReadiness() {
+  constexpr milliseconds kPace{250};
+  bool was_ready = false;
+  for (;;) {
+    std::string reason;
+    const bool is_ready = front_.IsReady(reason);
+    if (is_ready != was_ready) {
+      telemetry::Log(
+          Level::kInfo,
+          is_ready ? telemetry::event::kReady : telemetry::event::kNotReady,
+          {{"reason", reason}, {"running", callers_.running()}});
+    }
+    was_ready = is_ready;
+    co_await net::Sleep(kPace);
+  }
+}
+
+awaitable<void> FleetNode::AwaitStop() {
+  net::asio::signal_set signals(pool_.at(0), SIGINT, SIGTERM);
+  co_await signals.async_wait(net::kAsTuple);
+  co_await Drain();
+  pool_.at(0).stop();
+}
+
+awaitable<void> FleetNode::Drain() {
+  constexpr milliseconds kPace{20};
+  const auto start = RuntimeClock::now();
+  const auto limit = start + settings_.bounds.grace - kExitMargin;
+  telemetry::Log(Level::kInfo, telemetry::event::kDraining,
+                 {{"running", callers_.running()}});
+  // Readiness ends first; connections that still come are served once.
+  front_.SetStopping();
+  rollout_.Stop();
+  callers_.CloseAfterResponses();
+  co_await net::Sleep(kBalancerNotices);
+  callers_.CloseIdle();
+  while (RuntimeClock::now() < limit && callers_.running() > 0) {
+    co_await net::Sleep(kPace);
+  }
+  callers_.StopAccepting();
+}
+
+awaitable<void> FleetNode::AwaitReload() {
+  net::asio::signal_set signals(pool_.at(0), SIGHUP);
+  for (;;) {
+    co_await signals.async_wait(net::kAsTuple);
+    auto read = platform::ReadSettings(settings_path_);
+    if (!read.ok()) {
+      telemetry::Log(Level::kWarning, telemetry::event::kReloaded,
+                     {{"ok", false}, {"message", read.error().message}});
+      continue;
+    }
+    // Addresses that are bound stay; bounds and the store may change.
+    settings_.bounds = read.value().bounds;
+    settings_.store = read.value().store;
+    store_.set_address(settings_.store);
+    telemetry::Log(Level::kInfo, telemetry::event::kReloaded,
+                   {{"ok", true}, {"store", net::ToString(settings_.store)}});
+  }
+}
+
+void FleetNode::ApplyLimits() {
+  const CallerLimits& from = fleet_.config()->limits;
+  // Room for the clocks of callers that reuse idle connections late.
+  constexpr milliseconds kIdleMargin{1000};
+  constexpr std::size_t kHeadMargin = 1024;
+  net::ServerLimits limits;
+  limits.head_bytes = from.head_bytes + kHeadMargin;
+  limits.body_bytes = from.body_bytes;
+  limits.head_timeout = from.head_timeout;
+  limits.idle_timeout = from.idle_timeout + kIdleMargin;
+  callers_.set_limits(limits);
+}
+
+}  // namespace beryllane::fleet
--- /dev/null
+++ b/src/fleet/fleet_node.h
@@ -0,0 +1,62 @@
+/// @file
+/// One router process on the platform: its loop, its servers and its life.
+#ifndef BERYLLANE_SRC_FLEET_FLEET_NODE_H_
+#define BERYLLANE_SRC_FLEET_FLEET_NODE_H_
+
+#include <string>
+
+#include "platform/settings.h"
+#include "platform/store_client.h"
+#include "src/fleet/fleet.h"
+#include "src/fleet/fleet_front.h"
+#include "src/fleet/store_follower.h"
+#include "src/fleet/weights_rollout.h"
+#include "src/net/http_server.h"
+
+namespace beryllane::fleet {
+
+/// Owns everything; all work is done on one loop, because the hosts have one
+/// core.
+class FleetNode {
+ public:
+  /// `metrics_port` 0 serves no metrics. @pre `settings` were parsed from
+  /// `settings_path`.
+  FleetNode(platform::Settings settings, std::string settings_path,
+            std::uint16_t metrics_port);
+  FleetNode(const FleetNode&) = delete;
+  FleetNode& operator=(const FleetNode&) = delete;
+
+  /// Opens the ports and serves until a graceful stop ends. @pre called once.
+  Result<Done> Run();
+
+ private:
+  net::asio::awaitable<void> AnswerReady(net::Exchange& exchange);
+  net::asio::awaitable<void> AnswerMetrics(net::Exchange& exchange);
+  net::asio::awaitable<void> WatchReadiness();
+  net::asio::awaitable<void> AwaitStop();
+  net::asio::awaitable<void> AwaitReload();
+  net::asio::awaitable<void> Drain();
+  void ApplyLimits();
+  void ShareBudget();
+
+  platform::Settings settings_;
+  std::string settings_path_;
+  std::uint16_t metrics_port_;
+  MetricRegistry metrics_;
+  net::ContextPool pool_{1};
+  net::HttpClient client_;
+  // The store's long polls must not wait for requests' connections.
+  net::HttpClient store_http_;
+  platform::StoreClient store_;
+  Fleet fleet_;
+  StoreFollower follower_;
+  WeightsRollout rollout_;
+  FleetFront front_;
+  net::HttpServer callers_;
+  net::HttpServer ready_;
+  net::HttpServer metrics_server_;
+};
+
+}  // namespace beryllane::fleet
+
+#endif  // BERYLLANE_SRC_FLEET_FLEET_NODE_H_
--- /dev/null
+++ b/src/fleet/part_cache.h
@@ -0,0 +1,58 @@
+/// @file
+/// What one runner is believed to hold of prompts.
+#ifndef BERYLLANE_SRC_FLEET_PART_CACHE_H_
+#define BERYLLANE_SRC_FLEET_PART_CACHE_H_
+
+#include <cstdint>
+#include <list>
+#include <unordered_map>
+
+namespace beryllane::fleet {
+
+/// Mirrors a cache that drops the least recently used parts, from what was
+/// sent to its runner. Not thread-safe.
+class PartCache {
+ public:
+  /// Notes that a request used a part. @pre none. Complexity: amortized
+  /// constant.
+  void Use(std::uint64_t part, std::uint32_t tokens) {
+    const auto it = entries_.find(part);
+    if (it != entries_.end()) {
+      order_.splice(order_.begin(), order_, it->second);
+      return;
+    }
+    order_.push_front({part, tokens});
+    entries_[part] = order_.begin();
+    tokens_ += tokens;
+    while (tokens_ > capacity_ && order_.size() > 1) {
+      tokens_ -= order_.back().tokens;
+      entries_.erase(order_.back().part);
+      order_.pop_back();
+    }
+  }
+  /// Whether a part is believed to be held. @pre none.
+  bool Holds(std::uint64_t part) const { return entries_.contains(part); }
+  /// Forgets everything, because the runner did. @pre none.
+  void Clear() {
+    entries_.clear();
+    order_.clear();
+    tokens_ = 0;
+  }
+  /// Tokens that the runner can be relied on to keep. @pre none.
+  void set_capacity(std::uint64_t tokens) { capacity_ = tokens; }
+
+ private:
+  struct Entry {
+    std::uint64_t part;
+    std::uint32_t tokens;
+  };
+
+  std::uint64_t capacity_ = 50000;
+  std::uint64_t tokens_ = 0;
+  std::list<Entry> order_;
+  std::unordered_map<std::uint64_t, std::list<Entry>::iterator> entries_;
+};
+
+}  // namespace beryllane::fleet
+
+#endif  // BERYLLANE_SRC_FLEET_PART_CACHE_H_
--- /dev/null
+++ b/src/fleet/placement.cc
@@ -0,0 +1,206 @@
+#include "src/fleet/placement.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "beryllane/placement/prefix_policy.h"
+#include "fmt/format.h"
+
+namespace beryllane::fleet {
+namespace {
+
+using placement::Distance;
+using std::chrono::milliseconds;
+using Millis = std::chrono::duration<double, std::milli>;
+
+// Requests that begin on older weights lose part of their worth after this
+// time, and all of it later; from then on nothing is sent to old weights.
+constexpr milliseconds kFreeLag{1300};
+constexpr milliseconds kLongestLag{6000};
+constexpr Millis kStalePenalty{150};
+// Slow-down of a runner's step for each further request in its batch.
+constexpr double kWaitMsPerRequest = 1.5;
+// A plain service's wait once all slots are taken, for each further request.
+constexpr double kServiceMsPerQueued = 25;
+// What crossing a region costs a small request in time and bytes.
+constexpr double kServiceOtherRegionMs = 26;
+constexpr Millis kFullPenalty{150};
+
+std::string RegionOf(const Place& place, const std::string& zone) {
+  const auto it = place.region_of_zone.find(zone);
+  return it == place.region_of_zone.end() ? zone : it->second;
+}
+
+Distance DistanceTo(const Place& place, const std::string& zone) {
+  if (zone == place.availability_zone) return Distance::kSameZone;
+  return RegionOf(place, zone) == place.region ? Distance::kSameRegion
+                                               : Distance::kOtherRegion;
+}
+
+std::uint32_t ShortHash(const std::string& text) {
+  return static_cast<std::uint32_t>(HashBytes(text).low);
+}
+
+// Targets that may take the request now, best first by health.
+std::vector<std::shared_ptr<Runner>> Eligible(const Fleet& fleet,
+                                              const PlacementInput& input,
+                                              RuntimeClock::time_point now) {
+  std::vector<std::shared_ptr<Runner>> healthy;
+  std::vector<std::shared_ptr<Runner>> doubtful;
+  for (auto& runner : fleet.Takers(input.service.name)) {
+    const auto& tried = input.tried;
+    const bool was_tried =
+        std::find(tried.begin(), tried.end(), runner->entry.id) != tried.end();
+    if (was_tried || runner->switching_until > now) continue;
+    auto& group = runner->suspect_until > now ? doubtful : healthy;
+    group.push_back(std::move(runner));
+  }
+  return healthy.empty() ? doubtful : healthy;
+}
+
+Choice ChooseForService(const std::vector<std::shared_ptr<Runner>>& runners,
+                        const Place& place, RuntimeClock::time_point now) {
+  Choice best;
+  for (const auto& runner : runners) {
+    const double queued = runner->EstimatedLoad(now) + 1 - runner->entry.slots;
+    double price = std::max(0.0, queued) * kServiceMsPerQueued +
+                   runner->EstimatedLoad(now);
+    if (DistanceTo(place, runner->entry.availability_zone) ==
+        Distance::kOtherRegion) {
+      price += kServiceOtherRegionMs;
+    }
+    if (runner->full_until > now) price += kFullPenalty.count();
+    if (best.runner && price >= best.price_ms) continue;
+    best.runner = runner;
+    best.price_ms = price;
+  }
+  best.candidates = runners.size();
+  return best;
+}
+
+// What holds for all runners of one weights version.
+struct PromptView {
+  std::string salt;
+  std::vector<std::uint64_t> keys;
+  Hash128 home_key;
+};
+
+PromptView ViewOf(const PlacementInput& input, std::uint64_t version) {
+  PromptView view;
+  view.salt = CacheSalt(version, input.account);
+  view.keys = PartKeys(input.request, view.salt);
+  // The home of a part is the same under each version, so that a part is read
+  // anew at the runner that serves it already.
+  const auto& parts = input.request.parts;
+  const std::size_t deepest = parts.size() < 2 ? 0 : parts.size() - 2;
+  view.home_key = HashBytes(parts.empty() ? input.request.id
+                                          : parts[deepest].id);
+  return view;
+}
+
+Choice ChooseForEngine(const Fleet& fleet, const Place& place,
+                       const PlacementInput& input,
+                       const std::vector<std::shared_ptr<Runner>>& runners,
+                       std::uint64_t version, RuntimeClock::time_point now) {
+  const PromptView view = ViewOf(input, version);
+  const auto& parts = input.request.parts;
+  const WeightsGoal goal = fleet.GoalOf(input.request.model);
+  const bool is_old = version < goal.version;
+  const auto lag = BootClock::now() - goal.known_since;
+  placement::PrefixWeights weights;
+  placement::PrefixQuery query;
+  query.home_key = view.home_key;
+  query.kv_bytes_per_token = input.service.engine->kv_bytes_per_token;
+  query.link_mbps = input.service.engine->link_mbps;
+  for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+    query.shared_tokens += parts[i].tokens;
+  }
+  std::vector<placement::PrefixCandidate> candidates;
+  for (const auto& runner : runners) {
+    placement::PrefixCandidate candidate;
+    candidate.id_hash = runner->id_hash;
+    const double unread = static_cast<double>(runner->own_unread_tokens);
+    candidate.wait =
+        Millis(unread / weights.tokens_per_ms +
+               kWaitMsPerRequest * runner->EstimatedLoad(now));
+    if (runner->full_until > now) candidate.wait += kFullPenalty;
+    for (std::size_t i = 0;
+         i < view.keys.size() && runner->cache.Holds(view.keys[i]); ++i) {
+      candidate.held_tokens += parts[i].tokens;
+    }
+    candidate.distance = DistanceTo(place, runner->entry.availability_zone);
+    candidate.zone = ShortHash(runner->entry.availability_zone);
+    candidate.region =
+        ShortHash(RegionOf(place, runner->entry.availability_zone));
+    if (is_old && lag > kFreeLag) candidate.stale_penalty = kStalePenalty;
+    candidates.push_back(candidate);
+  }
+  const placement::PrefixDecision decision =
+      placement::ChooseByPrefix(candidates, query, weights);
+  Choice choice;
+  choice.runner = runners[decision.index];
+  if (decision.fetch_from) {
+    choice.fetch_from = runners[*decision.fetch_from]->entry.address;
+  }
+  if (version > 0) choice.weights_version = version;
+  choice.cache_salt = view.salt;
+  const std::uint32_t held = candidates[decision.index].held_tokens;
+  choice.unread_tokens =
+      input.request.prompt_tokens > held ? input.request.prompt_tokens - held : 0;
+  choice.price_ms = decision.price.count();
+  choice.candidates = candidates.size();
+  return choice;
+}
+
+Error NoTarget(const PlacementInput& input) {
+  return {ErrorId::kNoTarget,
+          fmt::format("service {} has no target that can take the request",
+                      input.service.name),
+          Verdict::kNotRun};
+}
+
+}  // namespace
+
+std::string CacheSalt(std::uint64_t version, const Account* account) {
+  const bool is_isolated = account != nullptr && account->is_isolated;
+  return is_isolated ? fmt::format("v{}.{}", version, account->name)
+                     : fmt::format("v{}", version);
+}
+
+std::vector<std::uint64_t> PartKeys(const platform::CallerRequest& request,
+                                    const std::string& salt) {
+  std::vector<std::uint64_t> keys;
+  const Hash128 seed = HashBytes(salt);
+  for (std::size_t i = 0; i + 1 < request.parts.size(); ++i) {
+    keys.push_back(ChainHash(seed, request.parts[i].id).low);
+  }
+  return keys;
+}
+
+Result<Choice> ChooseTarget(const Fleet& fleet, const Place& place,
+                            const PlacementInput& input,
+                            RuntimeClock::time_point now) {
+  const auto runners = Eligible(fleet, input, now);
+  if (runners.empty()) return NoTarget(input);
+  if (!input.service.engine) return ChooseForService(runners, place, now);
+  // Runners with the same weights compete with each other; an older version
+  // is used only where it is cheaper.
+  std::map<std::uint64_t, std::vector<std::shared_ptr<Runner>>> by_version;
+  for (const auto& runner : runners) {
+    by_version[runner->VersionOf(input.request.model)].push_back(runner);
+  }
+  const WeightsGoal goal = fleet.GoalOf(input.request.model);
+  const auto lag = BootClock::now() - goal.known_since;
+  std::optional<Choice> best;
+  for (auto it = by_version.rbegin(); it != by_version.rend(); ++it) {
+    const bool is_too_old = it->first < goal.version && lag > kLongestLag;
+    if (is_too_old) continue;
+    Choice choice =
+        ChooseForEngine(fleet, place, input, it->second, it->first, now);
+    if (!best || choice.price_ms < best->price_ms) best = std::move(choice);
+  }
+  if (!best) return NoTarget(input);
+  return std::move(*best);
+}
+
+}  // namespace beryllane::fleet
--- /dev/null
+++ b/src/fleet/runner_dialect.h
@@ -0,0 +1,111 @@
+/// @file
+/// Requests of the platform's callers to its targets.
+#ifndef BERYLLANE_SRC_FLEET_RUNNER_DIALECT_H_
+#define BERYLLANE_SRC_FLEET_RUNNER_DIALECT_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "beryllane/metrics/registry.h"
+#include "platform/request_codec.h"
+#include "src/exchange/engine.h"
+#include "src/fleet/event_relay.h"
+#include "src/fleet/fleet.h"
+#include "src/fleet/placement.h"
+
+namespace beryllane::fleet {
+
+/// Counters of the request path, looked up once.
+struct FleetMetrics {
+  /// @pre `registry` outlives the metrics.
+  explicit FleetMetrics(MetricRegistry& registry);
+
+  Counter& requests;
+  Counter& answered;
+  Counter& refused;
+  Counter& failed;
+  Counter& caller_gone;
+  Counter& attempts;
+  Counter& repeats;
+  Counter& budget_spent;
+  Counter& foreign_answers;
+  LatencyHistogram& first_byte;
+};
+
+/// What was established about a request before it is placed.
+struct RoutedRequest {
+  /// Holds the route, service and account alive.
+  std::shared_ptr<const FleetConfig> config;
+  const Route* route = nullptr;
+  const Service* service = nullptr;
+  const Account* account = nullptr;
+  platform::CallerRequest request;
+  std::string body;
+  RuntimeClock::time_point started;
+  /// When the final answer is due.
+  RuntimeClock::time_point limit;
+
+  /// Time left; never negative. @pre none.
+  std::chrono::milliseconds TimeLeft() const;
+};
+
+/// One request's dialect; see `exchange::Dialect`. Not thread-safe.
+class RunnerDialect {
+ public:
+  /// @pre all arguments outlive the dialect.
+  RunnerDialect(Fleet& fleet, const Place& place, FleetMetrics& metrics,
+                const net::Request& received, RoutedRequest& routed);
+  ~RunnerDialect();
+  RunnerDialect(const RunnerDialect&) = delete;
+  RunnerDialect& operator=(const RunnerDialect&) = delete;
+
+  Result<exchange::Target> Choose();
+  net::Request Encode(const exchange::Target& target);
+  net::CallOptions Options() const;
+  std::chrono::nanoseconds ProgressTimeout() const;
+  exchange::Judgement Judge(const net::AnswerStream& answer,
+                            const exchange::Target& target);
+  bool IsStream(const net::AnswerStream& answer) const;
+  Result<std::string> Feed(std::string bytes);
+  bool IsComplete() const { return false; }
+  Result<Done> OnStreamEnd() const;
+  net::http::response<net::http::empty_body> StreamHead(
+      const net::AnswerStream& answer, const exchange::Target& target) const;
+  net::Response WholeAnswer(const net::AnswerStream& answer, std::string body,
+                            const exchange::Target& target) const;
+  void OnAttemptEnd(const exchange::Target& target, const Error* error);
+  bool MayTryAgain(Error& error, int attempts);
+
+  /// Attempts made. @pre none.
+  int attempts() const { return static_cast<int>(tried_.size()); }
+  /// Id of the target tried last; empty before the first. @pre none.
+  std::string last_target() const { return tried_.empty() ? "" : tried_.back(); }
+
+ private:
+  bool IsIdempotent() const {
+    return routed_.route->repeatability == Repeatability::kIdempotent;
+  }
+  void ReleaseRunner();
+  void LearnCachedParts();
+  void LogChoice() const;
+
+  Fleet& fleet_;
+  const Place& place_;
+  FleetMetrics& metrics_;
+  const net::Request& received_;
+  RoutedRequest& routed_;
+  std::vector<std::string> tried_;
+  Choice choice_;
+  bool is_counted_ = false;
+  // Arrivals at targets so far; those after the first draw on the budget.
+  int arrivals_ = 0;
+  // Targets at which the request may have run.
+  int runs_ = 0;
+  std::optional<EventRelay> relay_;
+};
+
+}  // namespace beryllane::fleet
+
+#endif  // BERYLLANE_SRC_FLEET_RUNNER_DIALECT_H_
--- /dev/null
+++ b/src/fleet/store_follower.cc
@@ -0,0 +1,229 @@
+#include "src/fleet/store_follower.h"
+
+#include <set>
+#include <utility>
+
+#include "platform/config_codec.h"
+#include "src/telemetry/log.h"
+
+namespace beryllane::fleet {
+namespace {
+
+using net::asio::awaitable;
+using std::chrono::milliseconds;
+using telemetry::Level;
+
+// Time that a read of the operator's records waits for a change. Its empty
+// answer is what proves freshness, so it is well under the revocation bound.
+constexpr milliseconds kOperatorWait{1500};
+// Targets write about once a second each; a change is seen at this pace.
+constexpr milliseconds kTargetPace{400};
+constexpr milliseconds kRetryPause{150};
+// A store that fails for longer may have let entries of living targets lapse.
+constexpr milliseconds kOutage{800};
+// Living targets are back on the list within two seconds of its return.
+constexpr milliseconds kReturnTime{2200};
+
+}  // namespace
+
+StoreFollower::StoreFollower(platform::StoreClient& store, Fleet& fleet,
+                             std::function<void()> on_config,
+                             std::function<void()> on_weights)
+    : store_(store),
+      fleet_(fleet),
+      on_config_(std::move(on_config)),
+      on_weights_(std::move(on_weights)) {}
+
+awaitable<void> StoreFollower::FollowOperator() {
+  for (;;) {
+    const bool ok = co_await ReadOperator();
+    if (!ok) co_await net::Sleep(kRetryPause);
+  }
+}
+
+awaitable<bool> StoreFollower::ReadOperator() {
+  const auto sent = BootClock::now();
+  if (!operator_next_) {
+    auto page =
+        co_await store_.Newest(std::string(platform::kOperatorTopic));
+    if (!page.ok()) {
+      SetUp(false, page.error().message);
+      co_return false;
+    }
+    SetUp(true, "");
+    for (const auto& record : page.value().records) ApplyOperator(record);
+    operator_next_ = page.value().next;
+    freshness_.OnAnswer(sent, false, {});
+    co_return true;
+  }
+  auto page = co_await store_.Read(std::string(platform::kOperatorTopic),
+                                   *operator_next_, kOperatorWait);
+  if (!page.ok()) {
+    SetUp(false, page.error().message);
+    co_return false;
+  }
+  SetUp(true, "");
+  if (!page.value()) {
+    operator_next_.reset();
+    co_return true;
+  }
+  const platform::RecordPage& read = *page.value();
+  for (const auto& record : read.records) ApplyOperator(record);
+  operator_next_ = read.next;
+  // An answer that came early and empty proves no waiting.
+  const bool has_waited = BootClock::now() - sent >= kOperatorWait;
+  freshness_.OnAnswer(sent, read.records.empty() && has_waited, kOperatorWait);
+  co_return true;
+}
+
+void StoreFollower::ApplyOperator(const platform::KeyedRecord& record) {
+  auto decoded = platform::DecodeOperatorRecord(record.key, record.value);
+  if (!decoded.ok()) {
+    telemetry::Log(Level::kWarning, telemetry::event::kRecordIgnored,
+                   {{"topic", "operator"},
+                    {"key", record.key},
+                    {"offset", record.offset},
+                    {"message", decoded.error().message}});
+    return;
+  }
+  if (auto* config = std::get_if<FleetConfig>(&decoded.value())) {
+    const std::uint64_t version = config->version;
+    if (!fleet_.SetConfig(std::move(*config))) return;
+    telemetry::Log(Level::kInfo, telemetry::event::kConfigInForce,
+                   {{"version", version}, {"offset", record.offset}});
+    on_config_();
+  } else if (auto* weights = std::get_if<DesiredWeights>(&decoded.value())) {
+    if (!fleet_.SetGoal(*weights)) return;
+    telemetry::Log(Level::kInfo, telemetry::event::kWeightsNamed,
+                   {{"model", weights->model},
+                    {"version", weights->version},
+                    {"offset", record.offset}});
+    on_weights_();
+  }
+}
+
+awaitable<void> StoreFollower::FollowTargets() {
+  for (;;) {
+    const bool ok = co_await ReadTargets();
+    const auto now = RuntimeClock::now();
+    if (!ok && !targets_failing_since_) targets_failing_since_ = now;
+    if (ok && targets_failing_since_) {
+      if (now - *targets_failing_since_ > kOutage) {
+        returns_until_ = now + kReturnTime;
+      }
+      targets_failing_since_.reset();
+    }
+    RemoveDueTargets();
+    co_await net::Sleep(ok ? kTargetPace : kRetryPause);
+  }
+}
+
+awaitable<bool> StoreFollower::ReadTargets() {
+  if (!targets_next_) {
+    auto page = co_await store_.Newest(std::string(platform::kTargetTopic));
+    if (!page.ok()) co_return false;
+    ApplyTargetSet(page.value());
+    targets_next_ = page.value().next;
+    has_targets_ = true;
+    co_return true;
+  }
+  auto page = co_await store_.Read(std::string(platform::kTargetTopic),
+                                   *targets_next_, milliseconds(0));
+  if (!page.ok()) co_return false;
+  if (!page.value()) {
+    targets_next_.reset();
+    co_return co_await ReadTargets();
+  }
+  // A removal that comes right after an outage is seen in the same page.
+  if (targets_failing_since_ &&
+      RuntimeClock::now() - *targets_failing_since_ > kOutage) {
+    returns_until_ = RuntimeClock::now() + kReturnTime;
+  }
+  for (const auto& record : page.value()->records) ApplyTarget(record);
+  targets_next_ = page.value()->next;
+  co_return true;
+}
+
+void StoreFollower::ApplyTarget(const platform::KeyedRecord& record) {
+  if (record.value.empty()) {
+    RemoveTarget(record.key);
+    return;
+  }
+  auto entry = platform::DecodeTarget(record.key, record.value);
+  if (!entry.ok()) {
+    telemetry::Log(Level::kWarning, telemetry::event::kRecordIgnored,
+                   {{"topic", "targets"},
+                    {"key", record.key},
+                    {"offset", record.offset},
+                    {"message", entry.error().message}});
+    return;
+  }
+  removal_due_.erase(record.key);
+  const auto known = fleet_.targets().find(record.key);
+  const bool is_change =
+      known == fleet_.targets().end() ||
+      known->second->entry.born != entry.value().born ||
+      known->second->entry.is_draining != entry.value().is_draining;
+  if (is_change) {
+    telemetry::Log(
+        Level::kInfo, telemetry::event::kTargetChanged,
+        {{"target", record.key},
+         {"address", net::ToString(entry.value().address)},
+         {"service", entry.value().service},
+         {"state", entry.value().is_draining ? "draining" : "ready"},
+         {"offset", record.offset}});
+  }
+  fleet_.SetTarget(std::move(entry.value()));
+}
+
+void StoreFollower::ApplyTargetSet(const platform::RecordPage& page) {
+  std::set<std::string> listed;
+  for (const auto& record : page.records) {
+    if (!record.value.empty()) listed.insert(record.key);
+    ApplyTarget(record);
+  }
+  std::vector<std::string> missing;
+  for (const auto& [id, runner] : fleet_.targets()) {
+    if (!listed.contains(id)) missing.push_back(id);
+  }
+  for (const std::string& id : missing) RemoveTarget(id);
+}
+
+void StoreFollower::RemoveTarget(const std::string& id) {
+  if (!fleet_.targets().contains(id)) return;
+  if (RuntimeClock::now() < returns_until_) {
+    removal_due_.try_emplace(id, returns_until_);
+    return;
+  }
+  telemetry::Log(Level::kInfo, telemetry::event::kTargetGone,
+                 {{"target", id}});
+  fleet_.RemoveTarget(id);
+}
+
+void StoreFollower::RemoveDueTargets() {
+  const auto now = RuntimeClock::now();
+  for (auto it = removal_due_.begin(); it != removal_due_.end();) {
+    if (it->second > now) {
+      ++it;
+      continue;
+    }
+    telemetry::Log(Level::kInfo, telemetry::event::kTargetGone,
+                   {{"target", it->first}, {"reason", "still missing"}});
+    fleet_.RemoveTarget(it->first);
+    it = removal_due_.erase(it);
+  }
+}
+
+void StoreFollower::SetUp(bool is_up, const std::string& message) {
+  if (is_up == is_up_) return;
+  is_up_ = is_up;
+  const auto age = freshness_.Age(BootClock::now());
+  telemetry::Log(
+      is_up ? Level::kInfo : Level::kWarning,
+      is_up ? telemetry::event::kStoreUp : telemetry::event::kStoreDown,
+      {{"message", message},
+       {"proof_age_ms",
+        age ? std::chrono::duration_cast<milliseconds>(*age).count() : -1}});
+}
+
+}  // namespace beryllane::fleet
--- /dev/null
+++ b/src/fleet/store_follower.h
@@ -0,0 +1,66 @@
+/// @file
+/// Follows the operator's and the targets' records in the platform's store.
+#ifndef BERYLLANE_SRC_FLEET_STORE_FOLLOWER_H_
+#define BERYLLANE_SRC_FLEET_STORE_FOLLOWER_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "beryllane/freshness/freshness.h"
+#include "platform/store_client.h"
+#include "src/fleet/fleet.h"
+
+namespace beryllane::fleet {
+
+/// Keeps a `Fleet` up to date. Used on one loop.
+class StoreFollower {
+ public:
+  /// `on_config` is called after each new configuration, `on_weights` after
+  /// new weights were named. @pre all arguments outlive the follower.
+  StoreFollower(platform::StoreClient& store, Fleet& fleet,
+                std::function<void()> on_config,
+                std::function<void()> on_weights);
+
+  /// Follows the operator until the loop stops. @pre called once.
+  net::asio::awaitable<void> FollowOperator();
+  /// Follows the targets until the loop stops. @pre called once.
+  net::asio::awaitable<void> FollowTargets();
+
+  /// How recently the operator's records are known to be complete. @pre none.
+  const Freshness& freshness() const { return freshness_; }
+  /// Whether the list of targets was read at least once. @pre none.
+  bool has_targets() const { return has_targets_; }
+  /// Whether the store answered last. @pre none.
+  bool is_up() const { return is_up_; }
+
+ private:
+  net::asio::awaitable<bool> ReadOperator();
+  net::asio::awaitable<bool> ReadTargets();
+  void ApplyOperator(const platform::KeyedRecord& record);
+  void ApplyTarget(const platform::KeyedRecord& record);
+  void ApplyTargetSet(const platform::RecordPage& page);
+  void RemoveTarget(const std::string& id);
+  void RemoveDueTargets();
+  void SetUp(bool is_up, const std::string& message);
+
+  platform::StoreClient& store_;
+  Fleet& fleet_;
+  std::function<void()> on_config_;
+  std::function<void()> on_weights_;
+  Freshness freshness_;
+  // Offset at which to read on; none before the first read of all keys.
+  std::optional<std::uint64_t> operator_next_;
+  std::optional<std::uint64_t> targets_next_;
+  bool has_targets_ = false;
+  bool is_up_ = true;
+  std::optional<RuntimeClock::time_point> targets_failing_since_;
+  // Entries that lapsed while the store was away may come back until then.
+  RuntimeClock::time_point returns_until_;
+  std::map<std::string, RuntimeClock::time_point> removal_due_;
+};
+
+}  // namespace beryllane::fleet
+
+#endif  // BERYLLANE_SRC_FLEET_STORE_FOLLOWER_H_
--- /dev/null
+++ b/src/fleet/weights_rollout.cc
@@ -0,0 +1,277 @@
+#include "src/fleet/weights_rollout.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "beryllane/hash/hash.h"
+#include "beryllane/rollout/planner.h"
+#include "platform/request_codec.h"
+#include "src/telemetry/log.h"
+
+namespace beryllane::fleet {
+namespace {
+
+using net::asio::awaitable;
+using nlohmann::json;
+using std::chrono::milliseconds;
+using telemetry::Level;
+
+constexpr milliseconds kTick{100};
+// Loading slows down with more targets at once; from the deployments' sheets.
+constexpr std::size_t kAtOnce = 2;
+// The last holder takes the lease anew at once; others follow in turn, so that
+// only one of them calls the store.
+constexpr milliseconds kFirstTurn{300};
+constexpr milliseconds kTurnSpread{700};
+// How often a waiting host looks whether the holder still renews.
+constexpr milliseconds kLeaseReadPace{1000};
+constexpr milliseconds kRenewAfter{500};
+// An order is answered at once, or was lost.
+constexpr milliseconds kOrderPatience{700};
+// A load takes about this long before it is worth asking.
+constexpr milliseconds kFirstReport{420};
+constexpr milliseconds kReportPace{120};
+// A target that has not taken the weights by then is ordered again.
+constexpr milliseconds kLoadPatience{4000};
+constexpr std::string_view kLeaseKey = "weights";
+
+}  // namespace
+
+WeightsRollout::WeightsRollout(platform::StoreClient& store,
+                               net::HttpClient& client, Fleet& fleet,
+                               std::string host_id, lease::Terms terms,
+                               MetricRegistry& metrics)
+    : store_(store),
+      client_(client),
+      fleet_(fleet),
+      host_id_(std::move(host_id)),
+      lease_(host_id_, terms),
+      orders_(metrics.GetCounter("beryllane_orders_total",
+                                 "Orders sent to targets")),
+      order_failures_(metrics.GetCounter("beryllane_order_failures_total",
+                                         "Orders that were not accepted")) {}
+
+awaitable<void> WeightsRollout::Run() {
+  bool had_work = false;
+  while (!is_stopped_) {
+    co_await net::Sleep(kTick);
+    const auto work = FindWork();
+    if (!work) {
+      had_work = false;
+      continue;
+    }
+    if (!had_work) work_since_ = RuntimeClock::now();
+    had_work = true;
+    if (!lease_.IsHeld(BootClock::now())) {
+      co_await TakeLease();
+    } else if (BootClock::now() - renewed_at_ > kRenewAfter) {
+      co_await Renew();
+    }
+    if (lease_.IsHeld(BootClock::now())) StartOrders(*work);
+  }
+}
+
+std::optional<WeightsRollout::Work> WeightsRollout::FindWork() const {
+  for (const auto& [model, goal] : fleet_.goals()) {
+    Work work{model, goal.version, {}};
+    bool is_behind = false;
+    for (const auto& [id, runner] : fleet_.targets()) {
+      const bool has_model = runner->entry.weights.contains(model);
+      if (!has_model || runner->entry.is_draining) continue;
+      work.runners.push_back(runner);
+      is_behind = is_behind || runner->VersionOf(model) < goal.version;
+    }
+    if (is_behind) return work;
+  }
+  return std::nullopt;
+}
+
+awaitable<void> WeightsRollout::TakeLease() {
+  const auto now = RuntimeClock::now();
+  if (!has_read_lease_ || now - lease_read_at_ > kLeaseReadPace) {
+    co_await ReadLease();
+    if (!has_read_lease_) co_return;
+  }
+  const bool is_last = lease_.last_holder() == host_id_;
+  const auto turn =
+      kFirstTurn + milliseconds(HashBytes(host_id_).low % kTurnSpread.count());
+  if (!is_last && RuntimeClock::now() - work_since_ < turn) co_return;
+  if (!lease_.MayAppend(BootClock::now())) co_return;
+  co_await Renew();
+}
+
+awaitable<void> WeightsRollout::ReadLease() {
+  const auto seen = BootClock::now();
+  lease_read_at_ = RuntimeClock::now();
+  std::string topic(platform::kLeaseTopic);
+  platform::RecordPage page;
+  auto read = co_await store_.Read(topic, lease_.end(), milliseconds(0));
+  if (!read.ok()) co_return;
+  if (read.value()) {
+    page = std::move(*read.value());
+  } else {
+    auto newest = co_await store_.Newest(topic);
+    if (!newest.ok()) co_return;
+    page = std::move(newest.value());
+  }
+  for (const auto& record : page.records) {
+    const json body = json::parse(record.value, nullptr, false);
+    if (!body.is_object()) continue;
+    lease_.OnRecord(body.value("holder", ""), record.offset, seen);
+  }
+  if (page.next > lease_.end()) lease_.OnEnd(page.next);
+  has_read_lease_ = true;
+}
+
+awaitable<void> WeightsRollout::Renew() {
+  const auto sent = BootClock::now();
+  const bool was_held = lease_.IsHeld(sent);
+  std::string value = json{{"holder", host_id_}}.dump();
+  auto outcome =
+      co_await store_.Append(std::string(platform::kLeaseTopic),
+                             std::string(kLeaseKey), value, lease_.end());
+  if (!outcome.ok()) {
+    // It may be appended yet; the next read tells.
+    has_read_lease_ = false;
+    co_return;
+  }
+  if (!outcome.value().is_appended) {
+    lease_.Abandon();
+    co_await ReadLease();
+    telemetry::Log(Level::kInfo, telemetry::event::kLeaseLost,
+                   {{"holder", lease_.last_holder()}});
+    co_return;
+  }
+  lease_.OnAppended(outcome.value().offset, sent);
+  renewed_at_ = sent;
+  if (was_held) co_return;
+  telemetry::Log(Level::kInfo, telemetry::event::kLeaseTaken,
+                 {{"token", lease_.token()}});
+}
+
+void WeightsRollout::StartOrders(const Work& work) {
+  std::vector<rollout::TargetState> states;
+  const auto now = RuntimeClock::now();
+  for (const auto& runner : work.runners) {
+    rollout::TargetState state;
+    state.version = runner->VersionOf(work.model);
+    state.is_switching = under_way_.contains(runner->entry.id);
+    state.is_usable = runner->suspect_until <= now;
+    state.running = runner->own_running;
+    states.push_back(state);
+  }
+  for (const std::size_t index :
+       rollout::PlanOrders(states, work.version, {kAtOnce})) {
+    const auto& runner = work.runners[index];
+    under_way_[runner->entry.id] = now;
+    net::asio::co_spawn(client_.context(),
+                        Order(runner, work.model, work.version),
+                        net::asio::detached);
+  }
+}
+
+awaitable<void> WeightsRollout::Order(std::shared_ptr<Runner> runner,
+                                      std::string model,
+                                      std::uint64_t version) {
+  const std::string id = runner->entry.id;
+  platform::WeightsOrder order;
+  order.model = model;
+  order.version = version;
+  order.mode = platform::SwitchMode::kContinue;
+  order.holder = host_id_;
+  order.expected_order_count = runner->entry.order_count;
+  const bool may_be_accepted = co_await SendOrder(*runner, order);
+  if (may_be_accepted) co_await AwaitWeights(runner, model, version);
+  runner->switching_until = {};
+  under_way_.erase(id);
+}
+
+awaitable<bool> WeightsRollout::SendOrder(Runner& runner,
+                                          const platform::WeightsOrder& order) {
+  constexpr int kAccepted = 202;
+  constexpr int kHoldsAlready = 200;
+  constexpr int kConflict = 409;
+  constexpr int kOldToken = 412;
+  // Nothing may come between this check and the order.
+  if (!lease_.IsHeld(BootClock::now())) co_return false;
+  platform::WeightsOrder fenced = order;
+  fenced.fencing_token = lease_.token();
+  net::Request request = platform::MakeTargetCall(
+      net::http::verb::post, platform::kOrderPath,
+      platform::EncodeOrder(fenced), runner.entry.id);
+  net::CallOptions options;
+  options.connect_timeout = kOrderPatience;
+  options.answer_timeout = kOrderPatience;
+  options.unstated_idle_limit = std::chrono::nanoseconds(0);
+  runner.switching_until = RuntimeClock::now() + kLoadPatience;
+  orders_.Add();
+  auto answer = co_await client_.Call(runner.entry.address, std::move(request),
+                                      options);
+  const int status =
+      answer.ok() ? static_cast<int>(answer.value().result_int()) : 0;
+  telemetry::Log(Level::kInfo, telemetry::event::kOrderSent,
+                 {{"target", runner.entry.id},
+                  {"model", order.model},
+                  {"version", order.version},
+                  {"token", fenced.fencing_token},
+                  {"expected_orders", order.expected_order_count.value_or(0)},
+                  {"status", status},
+                  {"message", answer.ok() ? "" : answer.error().message}});
+  if (status == kAccepted) co_return true;
+  if (status == kHoldsAlready) {
+    runner.LearnVersion(order.model, order.version);
+    co_return false;
+  }
+  order_failures_.Add();
+  if (status == kOldToken) lease_.Abandon();
+  if (status == kConflict) co_await Refresh(runner, order.model);
+  if (!answer.ok() && answer.error().verdict == Verdict::kNotRun) {
+    runner.Suspect(RuntimeClock::now());
+    co_return false;
+  }
+  // An order without an answer may be carried out later.
+  co_return !answer.ok();
+}
+
+awaitable<void> WeightsRollout::AwaitWeights(std::shared_ptr<Runner> runner,
+                                             std::string model,
+                                             std::uint64_t version) {
+  const auto limit = RuntimeClock::now() + kLoadPatience;
+  co_await net::Sleep(kFirstReport);
+  while (RuntimeClock::now() < limit && !runner->entry.is_draining) {
+    const bool is_idle = co_await Refresh(*runner, model);
+    if (is_idle && runner->VersionOf(model) >= version) {
+      telemetry::Log(Level::kInfo, telemetry::event::kWeightsInPlace,
+                     {{"target", runner->entry.id},
+                      {"model", model},
+                      {"version", version}});
+      co_return;
+    }
+    co_await net::Sleep(kReportPace);
+  }
+}
+
+awaitable<bool> WeightsRollout::Refresh(Runner& runner,
+                                        const std::string& model) {
+  net::Request request = platform::MakeTargetCall(
+      net::http::verb::get, platform::kReportPath, "", runner.entry.id);
+  net::CallOptions options;
+  options.connect_timeout = kOrderPatience;
+  options.answer_timeout = kOrderPatience;
+  options.unstated_idle_limit = std::chrono::nanoseconds(0);
+  auto answer = co_await client_.Call(runner.entry.address, std::move(request),
+                                      options);
+  if (!answer.ok()) co_return false;
+  auto report = platform::DecodeReport(answer.value().body());
+  if (!report.ok()) co_return false;
+  runner.entry.order_count = report.value().order_count;
+  const auto weights = report.value().weights.find(model);
+  if (weights != report.value().weights.end()) {
+    runner.LearnVersion(model, weights->second);
+  }
+  co_return !report.value().is_order_under_way;
+}
+
+}  // namespace beryllane::fleet
--- /dev/null
+++ b/src/fleet/weights_rollout.h
@@ -0,0 +1,70 @@
+/// @file
+/// Brings targets to the weights that the operator named.
+#ifndef BERYLLANE_SRC_FLEET_WEIGHTS_ROLLOUT_H_
+#define BERYLLANE_SRC_FLEET_WEIGHTS_ROLLOUT_H_
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "beryllane/lease/lease.h"
+#include "platform/config_codec.h"
+#include "platform/store_client.h"
+#include "src/fleet/fleet.h"
+
+namespace beryllane::fleet {
+
+/// Gives orders to targets while this router holds the lease. Used on one
+/// loop.
+class WeightsRollout {
+ public:
+  /// @pre all references outlive the rollout.
+  WeightsRollout(platform::StoreClient& store, net::HttpClient& client,
+                 Fleet& fleet, std::string host_id, lease::Terms terms,
+                 MetricRegistry& metrics);
+
+  /// Works until the loop stops. @pre called once.
+  net::asio::awaitable<void> Run();
+  /// Stops giving orders, for example because the process ends. @pre none.
+  void Stop() { is_stopped_ = true; }
+
+ private:
+  struct Work {
+    std::string model;
+    std::uint64_t version = 0;
+    std::vector<std::shared_ptr<Runner>> runners;
+  };
+
+  std::optional<Work> FindWork() const;
+  net::asio::awaitable<void> TakeLease();
+  net::asio::awaitable<void> ReadLease();
+  net::asio::awaitable<void> Renew();
+  void StartOrders(const Work& work);
+  net::asio::awaitable<void> Order(std::shared_ptr<Runner> runner,
+                                   std::string model, std::uint64_t version);
+  net::asio::awaitable<bool> SendOrder(Runner& runner,
+                                       const platform::WeightsOrder& order);
+  net::asio::awaitable<void> AwaitWeights(std::shared_ptr<Runner> runner,
+                                          std::string model,
+                                          std::uint64_t version);
+  net::asio::awaitable<bool> Refresh(Runner& runner, const std::string& model);
+
+  platform::StoreClient& store_;
+  net::HttpClient& client_;
+  Fleet& fleet_;
+  std::string host_id_;
+  lease::Lease lease_;
+  bool is_stopped_ = false;
+  bool has_read_lease_ = false;
+  RuntimeClock::time_point work_since_;
+  RuntimeClock::time_point lease_read_at_;
+  BootClock::time_point renewed_at_;
+  // Targets with an order under way, by id.
+  std::map<std::string, RuntimeClock::time_point> under_way_;
+  Counter& orders_;
+  Counter& order_failures_;
+};
+
+}  // namespace beryllane::fleet
+
+#endif  // BERYLLANE_SRC_FLEET_WEIGHTS_ROLLOUT_H_
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -1,13 +1,20 @@
 #include "src/net/http_client.h"
 
+#include <netinet/tcp.h>
+
 #include <array>
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/connect.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+#include <charconv>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
 #include <tuple>
 #include <utility>
 
 #include "fmt/format.h"
+#include "src/net/serialize.h"
+#include "src/net/socket_options.h"
 #include "src/net/watchdog.h"
 
 namespace beryllane::net {
@@ -34,12 +41,17 @@
   tcp::socket socket;
   beast::flat_buffer buffer;
   Watchdog watchdog{socket};
+  RuntimeClock::time_point idle_until;
+  bool is_new = true;
+  // False while part of a request is still to be sent.
+  std::shared_ptr<bool> is_written = std::make_shared<bool>(true);
 
   Connection(Address at, tcp::socket open)
       : address(std::move(at)), socket(std::move(open)) {}
 
   // An idle connection that is readable was closed or holds stray bytes.
   bool IsUsable() {
+    if (RuntimeClock::now() >= idle_until) return false;
     std::array<char, 1> byte{};
     error_code code;
     socket.receive(asio::buffer(byte), tcp::socket::message_peek, code);
@@ -51,12 +63,68 @@
                            HttpClient& client, CallOptions options)
     : connection_(std::move(connection)),
       client_(client),
-      options_(options),
-      parser_(std::make_unique<http::response_parser<http::string_body>>()) {
-  parser_->body_limit(options.body_limit);
+      options_(options) {
+  ResetParser();
+}
+
+void AnswerStream::ResetParser() {
+  parser_ = std::make_unique<http::response_parser<http::string_body>>();
+  parser_->body_limit(options_.body_limit);
   parser_->eager(true);
 }
 
+nanoseconds AnswerStream::IdleLimit() const {
+  // Whole seconds are stated, so the true limit may be almost a second less
+  // than what a slow peer counts; the margin covers the request's flight.
+  constexpr nanoseconds kFlightMargin = milliseconds(500);
+  constexpr std::string_view kName = "timeout=";
+  const std::string_view text = Header(parser_->get(), "Keep-Alive");
+  const std::size_t at = text.find(kName);
+  if (at == std::string_view::npos) return options_.unstated_idle_limit;
+  int seconds = 0;
+  const char* first = text.data() + at + kName.size();
+  std::from_chars(first, text.data() + text.size(), seconds);
+  return std::chrono::seconds(seconds) - kFlightMargin;
+}
+
+asio::awaitable<Result<Done>> AnswerStream::ReadHead() {
+  constexpr int kFinalStatus = 200;
+  for (;;) {
+    Watchdog& watchdog = connection_->watchdog;
+    watchdog.Arm(options_.answer_timeout);
+    const auto [code, bytes] = co_await http::async_read_header(
+        connection_->socket, connection_->buffer, *parser_, kAsTuple);
+    watchdog.Disarm();
+    if (code) {
+      const ErrorId id = watchdog.has_expired() ? ErrorId::kTargetSilent
+                                                : ErrorId::kTargetFailed;
+      const std::string what = watchdog.has_expired()
+                                   ? fmt::format("no answer within {} ms",
+                                                 Millis(options_.answer_timeout))
+                                   : "no answer: " + code.message();
+      co_return MakeError(id, connection_->address, what,
+                          ExchangeStage::kRequestWritten);
+    }
+    if (status() >= kFinalStatus) co_return Done{};
+    ResetParser();
+  }
+}
+
+asio::awaitable<Result<Done>> AnswerStream::SkipAnswer() {
+  is_reusable_ = false;
+  while (!parser_->is_done()) {
+    auto part = co_await Read();
+    if (!part.ok()) {
+      // The end of another request's answer says nothing about this one.
+      co_return Error{part.error().id, part.error().message,
+                      Verdict::kMayHaveRun};
+    }
+    if (part.value().empty()) break;
+  }
+  ResetParser();
+  co_return co_await ReadHead();
+}
+
 AnswerStream::~AnswerStream() = default;
 
 error_code AnswerStream::ParseBuffered() {
@@ -110,7 +178,13 @@
                         ExchangeStage::kAnswerStarted);
   }
   std::string part = std::exchange(body, std::string());
-  if (part.empty() && connection_ && parser_->keep_alive()) {
+  const bool is_reusable = part.empty() && connection_ && is_reusable_ &&
+                           parser_->keep_alive() && !parser_->need_eof() &&
+                           *connection_->is_written &&
+                           connection_->buffer.size() == 0;
+  if (is_reusable) {
+    connection_->idle_until = RuntimeClock::now() + IdleLimit();
+    connection_->is_new = false;
     client_.PutIdle(std::move(connection_));
   }
   co_return part;
@@ -138,8 +212,7 @@
             : connect_code.message(),
         ExchangeStage::kBeforeFirstByte);
   }
-  connection->socket.set_option(tcp::no_delay(true), code);
-  connection->socket.non_blocking(true, code);
+  SetStreamOptions(connection->socket);
   co_return connection;
 }
 
@@ -161,44 +234,65 @@
   if (idle.size() > kMaxIdle) idle.pop_front();
 }
 
+Result<Done> HttpClient::StartWrite(AnswerStream& answer,
+                                    const std::string& wire) {
+  tcp::socket& socket = answer.connection_->socket;
+  error_code code;
+  std::size_t sent = socket.write_some(asio::buffer(wire), code);
+  if (code == asio::error::would_block) {
+    code = {};
+    sent = 0;
+  }
+  if (code) {
+    return MakeError(ErrorId::kTargetFailed, answer.connection_->address,
+                     "the request broke off: " + code.message(),
+                     ExchangeStage::kBeforeFirstByte);
+  }
+  if (sent == wire.size()) return Done{};
+  // A failure shows when the answer is read.
+  auto rest = std::make_shared<std::string>(wire.substr(sent));
+  std::shared_ptr<bool> is_written = answer.connection_->is_written;
+  *is_written = false;
+  asio::async_write(socket, asio::buffer(*rest),
+                    [rest, is_written](const error_code& failure, std::size_t) {
+                      *is_written = !failure;
+                    });
+  return Done{};
+}
+
 asio::awaitable<Result<std::unique_ptr<AnswerStream>>> HttpClient::Open(
     Address address, Request request, CallOptions options) {
-  std::unique_ptr<Connection> connection;
-  if (!options.needs_new_connection) connection = TakeIdle(address);
-  if (!connection) {
-    auto connected = co_await Connect(address, options.connect_timeout);
-    if (!connected.ok()) co_return connected.error();
-    connection = std::move(connected.value());
+  if (request.find(http::field::host) == request.end()) {
+    request.set(http::field::host, ToString(address));
   }
-  request.set(http::field::host, ToString(address));
   request.prepare_payload();
-  std::unique_ptr<AnswerStream> answer(
-      new AnswerStream(std::move(connection), *this, options));
-  tcp::socket& socket = answer->connection_->socket;
-  Watchdog& watchdog = answer->connection_->watchdog;
-  watchdog.Arm(options.answer_timeout);
-  const auto [write_code, written] =
-      co_await http::async_write(socket, request, kAsTuple);
-  if (write_code) {
-    const ExchangeStage stage = written == 0 ? ExchangeStage::kBeforeFirstByte
-                                             : ExchangeStage::kRequestWritten;
+  const auto wire = ToWire(request);
+  if (!wire) {
     co_return MakeError(ErrorId::kTargetFailed, address,
-                        "the request broke off: " + write_code.message(),
-                        stage);
+                        "the request cannot be serialized",
+                        ExchangeStage::kBeforeFirstByte);
   }
-  const auto [read_code, bytes] = co_await http::async_read_header(
-      socket, answer->connection_->buffer, *answer->parser_, kAsTuple);
-  watchdog.Disarm();
-  if (read_code) {
-    const ErrorId id = watchdog.has_expired() ? ErrorId::kTargetSilent
-                                              : ErrorId::kTargetFailed;
-    const std::string what = watchdog.has_expired()
-                                 ? fmt::format("no answer within {} ms",
-                                               Millis(options.answer_timeout))
-                                 : "no answer: " + read_code.message();
-    co_return MakeError(id, address, what, ExchangeStage::kRequestWritten);
+  for (;;) {
+    std::unique_ptr<Connection> connection;
+    if (!options.needs_new_connection) connection = TakeIdle(address);
+    if (!connection) {
+      auto connected = co_await Connect(address, options.connect_timeout);
+      if (!connected.ok()) co_return connected.error();
+      connection = std::move(connected.value());
+    }
+    const bool is_new = connection->is_new;
+    std::unique_ptr<AnswerStream> answer(
+        new AnswerStream(std::move(connection), *this, options));
+    auto written = StartWrite(*answer, *wire);
+    if (!written.ok()) {
+      // The peer closed the idle connection; nothing was sent.
+      if (!is_new) continue;
+      co_return written.error();
+    }
+    auto head = co_await answer->ReadHead();
+    if (!head.ok()) co_return head.error();
+    co_return answer;
   }
-  co_return answer;
 }
 
 asio::awaitable<Result<Response>> HttpClient::Call(Address address,
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -30,6 +30,8 @@
   /// no earlier use can have closed it.
   bool needs_new_connection = false;
   std::size_t body_limit = 64 * 1024 * 1024;
+  /// Longest reuse of an idle connection whose peer states no time of its own.
+  std::chrono::nanoseconds unstated_idle_limit = std::chrono::seconds(60);
 };
 
 class HttpClient;
@@ -49,6 +51,10 @@
   /// Reads the next bytes of the body; an empty string is its end. @pre not
   /// at the end.
   asio::awaitable<Result<std::string>> Read();
+  /// Discards this answer and waits for the head of the next one on the same
+  /// connection, which is then not used again. For answers that belong to
+  /// another request. @pre nothing of the body was used.
+  asio::awaitable<Result<Done>> SkipAnswer();
   /// Replaces the longest wait for the next bytes. @pre none.
   void set_answer_timeout(std::chrono::nanoseconds timeout) {
     options_.answer_timeout = timeout;
@@ -61,14 +67,20 @@
   AnswerStream(std::unique_ptr<Connection> connection, HttpClient& client,
                CallOptions options);
 
+  // Reads heads until one is final.
+  asio::awaitable<Result<Done>> ReadHead();
+  void ResetParser();
   // Parses what was received.
   error_code ParseBuffered();
   asio::awaitable<error_code> ReadMore();
+  // How long the connection may wait for its next request.
+  std::chrono::nanoseconds IdleLimit() const;
 
   std::unique_ptr<Connection> connection_;
   HttpClient& client_;
   CallOptions options_;
   std::unique_ptr<http::response_parser<http::string_body>> parser_;
+  bool is_reusable_ = true;
 };
 
 /// Calls HTTP servers. Used by the coroutines of one event loop.
@@ -83,6 +95,9 @@
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
+  /// The loop that the client runs on. @pre none.
+  asio::io_context& context() { return context_; }
+
   /// Sends a request and reads the whole answer. An error's verdict says
   /// whether the other end may have acted. @pre called on the client's loop.
   asio::awaitable<Result<Response>> Call(Address address, Request request,
@@ -97,6 +112,9 @@
 
   asio::awaitable<Result<std::unique_ptr<Connection>>> Connect(
       const Address& address, std::chrono::nanoseconds timeout);
+  // Starts to send; what the socket does not take at once goes on in the
+  // background, so that an early answer is seen.
+  Result<Done> StartWrite(AnswerStream& answer, const std::string& wire);
   std::unique_ptr<Connection> TakeIdle(const Address& address);
   void PutIdle(std::unique_ptr<Connection> connection);
 
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -16,6 +16,8 @@
 #include <utility>
 
 #include "fmt/format.h"
+#include "src/net/serialize.h"
+#include "src/net/socket_options.h"
 #include "src/net/watchdog.h"
 
 namespace beryllane::net {
@@ -112,20 +114,8 @@
   response.keep_alive(request_.keep_alive() && !close_after_);
   response.prepare_payload();
   if (request_.method() == http::verb::head) response.body().clear();
-  http::response_serializer<http::string_body> serializer(response);
-  error_code code;
-  std::string wire;
-  while (!serializer.is_done() && !code) {
-    serializer.next(code, [&](error_code& /*next*/, const auto& buffers) {
-      for (auto it = asio::buffer_sequence_begin(buffers);
-           it != asio::buffer_sequence_end(buffers); ++it) {
-        const asio::const_buffer part(*it);
-        wire.append(static_cast<const char*>(part.data()), part.size());
-      }
-      serializer.consume(asio::buffer_size(buffers));
-    });
-  }
-  const bool ok = !code && co_await WriteAll(asio::buffer(wire));
+  const auto wire = ToWire(response);
+  const bool ok = wire && co_await WriteAll(asio::buffer(*wire));
   is_finished_ = ok;
   co_return ok;
 }
@@ -141,6 +131,28 @@
   co_return !code;
 }
 
+asio::awaitable<bool> Exchange::StartStream(
+    http::response<http::empty_body> head, std::string_view first) {
+  is_started_ = true;
+  head.keep_alive(request_.keep_alive() && !close_after_);
+  head.chunked(true);
+  std::string wire = fmt::format("HTTP/1.1 {} {}\r\n", head.result_int(),
+                                 std::string(head.reason()));
+  for (const auto& field : head) {
+    wire.append(field.name_string().data(), field.name_string().size());
+    wire += ": ";
+    wire.append(field.value().data(), field.value().size());
+    wire += "\r\n";
+  }
+  wire += "\r\n";
+  if (!first.empty()) {
+    wire += fmt::format("{:x}\r\n", first.size());
+    wire += first;
+    wire += "\r\n";
+  }
+  co_return co_await WriteAll(asio::buffer(wire));
+}
+
 asio::awaitable<bool> Exchange::Write(std::string_view data) {
   if (data.empty()) co_return true;
   const auto chunk =
@@ -177,6 +189,9 @@
   Shard& shard;
   beast::flat_buffer buffer;
   Watchdog watchdog{socket};
+  // Requests served so far. A new connection is served once even while the
+  // server closes, because its peer cannot know.
+  int served = 0;
 };
 
 HttpServer::HttpServer(ContextPool& pool, ServerLimits limits, Handler handler,
@@ -255,8 +270,7 @@
 asio::awaitable<void> HttpServer::Serve(tcp::socket socket, Shard& shard) {
   connections_.fetch_add(1);
   error_code ignored;
-  socket.set_option(tcp::no_delay(true), ignored);
-  socket.non_blocking(true, ignored);
+  SetStreamOptions(socket);
   Session session(std::move(socket), shard);
   try {
     while (co_await ServeOne(session)) {
@@ -270,7 +284,7 @@
 
 asio::awaitable<bool> HttpServer::WaitForRequest(Session& session) {
   if (session.buffer.size() > 0) co_return true;
-  if (is_closing_.load()) co_return false;
+  if (is_closing_.load() && session.served > 0) co_return false;
   session.shard.idle.insert(&session);
   session.watchdog.Arm(limits_.idle_timeout);
   const auto [code, bytes] = co_await ReadSome(session.socket, session.buffer);
@@ -318,6 +332,7 @@
       nullptr, [this](void*) { running_.fetch_sub(1); });
   Exchange exchange(session.socket, std::move(*request), is_closing_.load(),
                     limits_, session.shard.index);
+  ++session.served;
   co_await handler_(exchange);
   co_return exchange.is_reusable() && !is_closing_.load();
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -58,6 +58,9 @@
   /// Sends the head of a chunked response; false if the caller is gone. @pre
   /// nothing was sent before.
   asio::awaitable<bool> StartStream(http::response<http::empty_body> head);
+  /// The same with the first chunk in the same write. @pre as above.
+  asio::awaitable<bool> StartStream(http::response<http::empty_body> head,
+                                    std::string_view first);
   /// Sends one chunk; false if the caller is gone or reads too slowly. @pre
   /// `StartStream` returned true.
   asio::awaitable<bool> Write(std::string_view data);
@@ -116,6 +119,9 @@
   void CloseAfterResponses() { is_closing_.store(true); }
   /// Closes connections that wait for a request. @pre none. Thread-safe.
   void CloseIdle();
+  /// Replaces the limits for what is read from now on. @pre on the loop of a
+  /// pool of one.
+  void set_limits(const ServerLimits& limits) { limits_ = limits; }
   /// Exchanges being answered. @pre none. Thread-safe.
   std::int64_t running() const { return running_.load(); }
 
--- a/src/telemetry/log.h
+++ b/src/telemetry/log.h
@@ -29,6 +29,19 @@
 inline constexpr std::string_view kAttemptFailed = "attempt-failed";
 inline constexpr std::string_view kInvariant = "invariant-violated";
 inline constexpr std::string_view kStopForced = "stop-forced";
+inline constexpr std::string_view kPlaced = "placed";
+inline constexpr std::string_view kRequestDone = "request-done";
+inline constexpr std::string_view kStoreDown = "store-down";
+inline constexpr std::string_view kStoreUp = "store-up";
+inline constexpr std::string_view kRecordIgnored = "record-ignored";
+inline constexpr std::string_view kTargetChanged = "target-changed";
+inline constexpr std::string_view kTargetGone = "target-gone";
+inline constexpr std::string_view kWeightsNamed = "weights-named";
+inline constexpr std::string_view kLeaseTaken = "lease-taken";
+inline constexpr std::string_view kLeaseLost = "lease-lost";
+inline constexpr std::string_view kOrderSent = "order-sent";
+inline constexpr std::string_view kWeightsInPlace = "weights-in-place";
+inline constexpr std::string_view kReloaded = "reloaded";
 }  // namespace event
 
 /// Sets the level (`debug`, `info`, `warning` or `error`) and the fields that
