--- a/src/coordination/rollout_planner.cc
+++ b/src/coordination/rollout_planner.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <tuple>
 
 #include "beryllane/rollout/planner.h"
 
@@ -18,7 +19,8 @@
   }
   std::stable_sort(lagging.begin(), lagging.end(),
                    [&targets](std::size_t a, std::size_t b) {
-                     return targets[a].running < targets[b].running;
+                     return std::tie(targets[a].version, targets[a].running) <
+                            std::tie(targets[b].version, targets[b].running);
                    });
   const std::size_t room =
       limits.at_once > under_way ? limits.at_once - under_way : 0;
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -16,6 +16,9 @@
 constexpr int kMaxDoublings = 3;
 // Half-life of what a target reported of other routers' requests.
 constexpr double kReportHalfLifeMs = 400;
+// What a peer told of its requests holds until it tells anew, and no longer.
+constexpr milliseconds kPeerLoadLife{3000};
+constexpr milliseconds kPeerUnreadLife{500};
 // Share of a runner's memory that cached parts can count on beside running
 // requests.
 constexpr double kCacheShare = 0.6;
@@ -35,11 +38,26 @@
 }
 
 double Runner::EstimatedLoad(RuntimeClock::time_point now) const {
-  const double others =
-      std::max(0, reported_running - own_running_at_report);
+  double told = 0;
+  for (const auto& [peer, load] : peer_loads) {
+    if (now - load.told_at < kPeerLoadLife) told += load.running;
+  }
+  const double others = std::max<double>(
+      0, reported_running - own_running_at_report);
   const double age_ms =
       std::chrono::duration<double, std::milli>(now - reported_at).count();
-  return own_running + others * std::exp2(-age_ms / kReportHalfLifeMs);
+  return own_running +
+         std::max(told, others * std::exp2(-age_ms / kReportHalfLifeMs));
+}
+
+double Runner::UnreadTokens(RuntimeClock::time_point now) const {
+  auto tokens = static_cast<double>(own_unread_tokens);
+  for (const auto& [peer, load] : peer_loads) {
+    if (now - load.told_at < kPeerUnreadLife) {
+      tokens += static_cast<double>(load.unread_tokens);
+    }
+  }
+  return tokens;
 }
 
 void Runner::ReportLoad(int running, int waiting,
@@ -67,6 +85,7 @@
   const bool is_same = runner && runner->entry.born == entry.born &&
                        runner->entry.address == entry.address;
   if (is_same) {
+    if (entry.beat < runner->entry.beat) return;
     // The list lags behind what answers and orders showed.
     for (auto& [model, version] : runner->entry.weights) {
       std::uint64_t& listed = entry.weights[model];
@@ -74,7 +93,6 @@
       listed = std::max(listed, version);
     }
     entry.is_draining = entry.is_draining || runner->entry.is_draining;
-    entry.order_count = std::max(entry.order_count, runner->entry.order_count);
     runner->entry = std::move(entry);
     return;
   }
@@ -112,7 +130,8 @@
 bool Fleet::SetGoal(const DesiredWeights& weights) {
   WeightsGoal& goal = goals_[weights.model];
   if (weights.version <= goal.version) return false;
-  goal = {weights.version, BootClock::now()};
+  goal.version = weights.version;
+  goal.known_since[weights.version] = BootClock::now();
   return true;
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -31,6 +31,15 @@
   int reported_running = 0;
   int own_running_at_report = 0;
   RuntimeClock::time_point reported_at;
+  /// What other routers told of their own requests there, by router.
+  struct PeerLoad {
+    int running = 0;
+    std::uint64_t unread_tokens = 0;
+    RuntimeClock::time_point told_at;
+  };
+  std::map<std::string, PeerLoad> peer_loads;
+  /// Orders that it accepted, where a report told.
+  std::optional<std::uint64_t> order_count;
   /// Not chosen before this time, because it failed to answer.
   RuntimeClock::time_point suspect_until;
   int failures_in_row = 0;
@@ -47,6 +56,8 @@
   void LearnVersion(const std::string& model, std::uint64_t version);
   /// Requests that run or wait there by the best guess. @pre none.
   double EstimatedLoad(RuntimeClock::time_point now) const;
+  /// Prompt tokens that wait to be read there by the best guess. @pre none.
+  double UnreadTokens(RuntimeClock::time_point now) const;
   /// Notes an answer's load figures. @pre none.
   void ReportLoad(int running, int waiting, RuntimeClock::time_point now);
   /// Notes that it cannot be reached. @pre none.
@@ -58,10 +69,20 @@
   }
 };
 
-/// Weights that the operator named, and since when this router knows.
+/// Weights that the operator named.
 struct WeightsGoal {
   std::uint64_t version = 0;
-  BootClock::time_point known_since;
+  /// When this router learned of each version.
+  std::map<std::uint64_t, BootClock::time_point> known_since;
+
+  /// How long a newer version than `used` has been known; zero where none is.
+  /// @pre none.
+  std::chrono::nanoseconds Lag(std::uint64_t used,
+                               BootClock::time_point now) const {
+    const auto newer = known_since.upper_bound(used);
+    return newer == known_since.end() ? std::chrono::nanoseconds(0)
+                                      : now - newer->second;
+  }
 };
 
 /// Not thread-safe: used on the router's loop alone. Runners are shared so
--- a/src/fleet/fleet_front.cc
+++ b/src/fleet/fleet_front.cc
@@ -39,11 +39,12 @@
 }  // namespace
 
 FleetFront::FleetFront(const platform::Settings& settings,
-                       net::HttpClient& client, Fleet& fleet,
+                       net::HttpClient& client, Fleet& fleet, Peers& peers,
                        const StoreFollower& follower, MetricRegistry& metrics)
     : settings_(settings),
       client_(client),
       fleet_(fleet),
+      peers_(peers),
       follower_(follower),
       place_{settings.availability_zone, settings.region,
              settings.region_of_zone},
@@ -144,7 +145,8 @@
   routed.body = exchange.TakeBody();
   metrics_.requests.Add();
   fleet_.BudgetOf(routed.service->name).CountRequest(RuntimeClock::now());
-  RunnerDialect dialect(fleet_, place_, metrics_, exchange.request(), routed);
+  RunnerDialect dialect(fleet_, peers_, place_, metrics_, exchange.request(),
+                        routed);
   exchange::Engine engine(exchange, client_, &dialect);
   auto raced = co_await (engine.Run() || exchange.WaitForClose());
   Ending ending;
--- a/src/fleet/fleet_front.h
+++ b/src/fleet/fleet_front.h
@@ -20,7 +20,7 @@
  public:
   /// @pre all references outlive the front.
   FleetFront(const platform::Settings& settings, net::HttpClient& client,
-             Fleet& fleet, const StoreFollower& follower,
+             Fleet& fleet, Peers& peers, const StoreFollower& follower,
              MetricRegistry& metrics);
 
   /// Answers one request. @pre on the front's loop.
@@ -45,6 +45,7 @@
   const platform::Settings& settings_;
   net::HttpClient& client_;
   Fleet& fleet_;
+  Peers& peers_;
   const StoreFollower& follower_;
   Place place_;
   FleetMetrics metrics_;
--- a/src/fleet/fleet_node.cc
+++ b/src/fleet/fleet_node.cc
@@ -50,9 +50,12 @@
       store_(store_http_, settings_.store, metrics_),
       follower_(
           store_, fleet_, [this] { ApplyLimits(); }, [] {}),
-      rollout_(store_, client_, fleet_, settings_.host_id,
+      peers_(pool_.at(0), store_, fleet_, settings_.host_id,
+             net::ToString({settings_.ip, settings_.first_internal_port}),
+             metrics_),
+      rollout_(store_, client_, fleet_, peers_, settings_.host_id,
                LeaseTerms(settings_.bounds), metrics_),
-      front_(settings_, client_, fleet_, follower_, metrics_),
+      front_(settings_, client_, fleet_, peers_, follower_, metrics_),
       callers_(
           pool_, {}, [this](net::Exchange& e) { return front_.Handle(e); },
           caller::ErrorAnswer),
@@ -92,6 +95,7 @@
   using net::asio::detached;
   co_spawn(loop, follower_.FollowOperator(), detached);
   co_spawn(loop, follower_.FollowTargets(), detached);
+  co_spawn(loop, peers_.Run(), detached);
   co_spawn(loop, rollout_.Run(), detached);
   co_spawn(loop, WatchReadiness(), detached);
   co_spawn(loop, AwaitStop(), detached);
@@ -150,11 +154,12 @@
   rollout_.Stop();
   callers_.CloseAfterResponses();
   co_await net::Sleep(kBalancerNotices);
+  // What is accepted later could not be finished in the grace time.
+  callers_.StopAccepting();
   callers_.CloseIdle();
   while (RuntimeClock::now() < limit && callers_.running() > 0) {
     co_await net::Sleep(kPace);
   }
-  callers_.StopAccepting();
 }
 
 awaitable<void> FleetNode::AwaitReload() {
--- a/src/fleet/fleet_node.h
+++ b/src/fleet/fleet_node.h
@@ -9,6 +9,7 @@
 #include "platform/store_client.h"
 #include "src/fleet/fleet.h"
 #include "src/fleet/fleet_front.h"
+#include "src/fleet/peers.h"
 #include "src/fleet/store_follower.h"
 #include "src/fleet/weights_rollout.h"
 #include "src/net/http_server.h"
@@ -50,6 +51,7 @@
   platform::StoreClient store_;
   Fleet fleet_;
   StoreFollower follower_;
+  Peers peers_;
   WeightsRollout rollout_;
   FleetFront front_;
   net::HttpServer callers_;
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -114,8 +114,8 @@
   std::string availability_zone;
   int slots = 1;
   bool is_draining = false;
-  /// Orders accepted since its start.
-  std::uint64_t order_count = 0;
+  /// Number of this entry among those of the process; it grows by itself.
+  std::uint64_t beat = 0;
   /// Weights version by model.
   std::map<std::string, std::uint64_t> weights;
 };
--- /dev/null
+++ b/src/fleet/peers.cc
@@ -0,0 +1,166 @@
+#include "src/fleet/peers.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "src/telemetry/log.h"
+
+namespace beryllane::fleet {
+namespace {
+
+using net::asio::awaitable;
+using nlohmann::json;
+using std::chrono::milliseconds;
+using telemetry::Level;
+
+// Loads change within a request's time; faster batches gain little.
+constexpr milliseconds kBatchPace{200};
+constexpr milliseconds kRegisterPause{500};
+// A target takes new weights for about this long.
+constexpr milliseconds kSwitchTime{900};
+
+// Fields of a batch; short, because each message goes to every peer.
+constexpr const char* kSender = "h";
+constexpr const char* kLoads = "l";
+constexpr const char* kParts = "p";
+constexpr const char* kOrders = "o";
+
+}  // namespace
+
+Peers::Peers(net::asio::io_context& loop, platform::StoreClient& store,
+             Fleet& fleet, std::string host_id, std::string address,
+             MetricRegistry& metrics)
+    : store_(store),
+      fleet_(fleet),
+      host_id_(std::move(host_id)),
+      address_(std::move(address)),
+      bus_(loop, metrics,
+           [this](const std::string& message) { Receive(message); }) {}
+
+awaitable<void> Peers::Run() {
+  auto listening = bus_.Listen(address_);
+  if (!listening.ok()) {
+    telemetry::Log(Level::kError, telemetry::event::kPeersUnavailable,
+                   {{"message", listening.error().message}});
+    co_return;
+  }
+  while (!co_await Register()) co_await net::Sleep(kRegisterPause);
+  for (;;) {
+    co_await net::Sleep(kBatchPace);
+    SendBatch();
+  }
+}
+
+// Each router appends its address and then dials those before it, so that
+// each pair has one connection and nobody reads the list again.
+awaitable<bool> Peers::Register() {
+  std::string topic(platform::kPeerTopic);
+  std::string value = json{{"address", address_}}.dump();
+  auto appended =
+      co_await store_.Append(topic, host_id_, value, std::nullopt);
+  if (!appended.ok()) co_return false;
+  auto listed = co_await store_.Newest(topic);
+  if (!listed.ok()) co_return false;
+  for (const auto& record : listed.value().records) {
+    const json body = json::parse(record.value, nullptr, false);
+    const bool is_earlier = record.offset < appended.value().offset &&
+                            record.key != host_id_ && body.is_object();
+    if (!is_earlier) continue;
+    const std::string address = body.value("address", "");
+    if (address == address_) continue;
+    auto dialed = bus_.Dial(address);
+    if (!dialed.ok()) {
+      telemetry::Log(Level::kWarning, telemetry::event::kRecordIgnored,
+                     {{"topic", "peers"},
+                      {"key", record.key},
+                      {"message", dialed.error().message}});
+    }
+  }
+  co_return true;
+}
+
+void Peers::AnnounceOrder(const Runner& runner, const std::string& model,
+                          std::uint64_t version) {
+  const json message{{kOrders, {{runner.id_hash, model, version, false}}}};
+  const auto bytes = json::to_msgpack(message);
+  bus_.Send(std::string(bytes.begin(), bytes.end()));
+}
+
+void Peers::AnnounceWeights(const Runner& runner, const std::string& model,
+                            std::uint64_t version) {
+  const json message{{kOrders, {{runner.id_hash, model, version, true}}}};
+  const auto bytes = json::to_msgpack(message);
+  bus_.Send(std::string(bytes.begin(), bytes.end()));
+}
+
+void Peers::NotePart(const Runner& runner, std::uint64_t part,
+                     std::uint32_t tokens) {
+  constexpr std::size_t kMaxWaiting = 1000;
+  if (new_parts_.size() < kMaxWaiting) {
+    new_parts_.push_back({runner.id_hash, part, tokens});
+  }
+}
+
+void Peers::SendBatch() {
+  json loads = json::array();
+  for (const auto& [id, runner] : fleet_.targets()) {
+    const std::pair<int, std::uint64_t> load{runner->own_running,
+                                             runner->own_unread_tokens};
+    auto& sent = sent_loads_[runner->id_hash];
+    if (sent == load) continue;
+    sent = load;
+    loads.push_back({runner->id_hash, load.first, load.second});
+  }
+  if (loads.empty() && new_parts_.empty()) return;
+  json parts = json::array();
+  for (const PartHint& hint : new_parts_) {
+    parts.push_back({hint.runner, hint.part, hint.tokens});
+  }
+  new_parts_.clear();
+  const json message{
+      {kSender, host_id_}, {kLoads, loads}, {kParts, parts}};
+  const auto bytes = json::to_msgpack(message);
+  bus_.Send(std::string(bytes.begin(), bytes.end()));
+}
+
+void Peers::Receive(const std::string& message) {
+  const json body = json::from_msgpack(message, true, false);
+  if (!body.is_object()) return;
+  std::map<std::uint64_t, Runner*> by_hash;
+  for (const auto& [id, runner] : fleet_.targets()) {
+    by_hash[runner->id_hash] = runner.get();
+  }
+  const auto find = [&by_hash](const json& hash) -> Runner* {
+    const auto it = by_hash.find(hash.get<std::uint64_t>());
+    return it == by_hash.end() ? nullptr : it->second;
+  };
+  const auto now = RuntimeClock::now();
+  try {
+    for (const json& order : body.value(kOrders, json::array())) {
+      Runner* runner = find(order.at(0));
+      if (runner == nullptr) continue;
+      const bool is_in_place = order.at(3).get<bool>();
+      if (is_in_place) {
+        runner->LearnVersion(order.at(1), order.at(2));
+        runner->switching_until = {};
+      } else {
+        runner->switching_until = now + kSwitchTime;
+      }
+    }
+    const std::string sender = body.value(kSender, "");
+    for (const json& load : body.value(kLoads, json::array())) {
+      Runner* runner = find(load.at(0));
+      if (runner == nullptr) continue;
+      runner->peer_loads[sender] = {load.at(1), load.at(2), now};
+    }
+    for (const json& part : body.value(kParts, json::array())) {
+      Runner* runner = find(part.at(0));
+      if (runner != nullptr) runner->cache.Use(part.at(1), part.at(2));
+    }
+  } catch (const json::exception& error) {
+    telemetry::Log(Level::kWarning, telemetry::event::kRecordIgnored,
+                   {{"topic", "peers"}, {"message", error.what()}});
+  }
+}
+
+}  // namespace beryllane::fleet
--- /dev/null
+++ b/src/fleet/peers.h
@@ -0,0 +1,60 @@
+/// @file
+/// What routers tell each other: loads, cached parts and switching targets.
+#ifndef BERYLLANE_SRC_FLEET_PEERS_H_
+#define BERYLLANE_SRC_FLEET_PEERS_H_
+
+#include <string>
+#include <vector>
+
+#include "platform/store_client.h"
+#include "src/fleet/fleet.h"
+#include "src/wire/peer_bus.h"
+
+namespace beryllane::fleet {
+
+/// Exchanges hints with the other routers. Hints only improve placement: a
+/// lost, late or wrong one costs time, never a promise. Used on one loop.
+class Peers {
+ public:
+  /// @pre all references outlive this object. `address` is the own `ip:port`.
+  Peers(net::asio::io_context& loop, platform::StoreClient& store,
+        Fleet& fleet, std::string host_id, std::string address,
+        MetricRegistry& metrics);
+
+  /// Opens the bus, finds the other routers in the store and sends hints until
+  /// the loop stops. @pre called once.
+  net::asio::awaitable<void> Run();
+
+  /// Tells that a target was ordered to take weights. @pre none.
+  void AnnounceOrder(const Runner& runner, const std::string& model,
+                     std::uint64_t version);
+  /// Tells that a target has the weights. @pre none.
+  void AnnounceWeights(const Runner& runner, const std::string& model,
+                       std::uint64_t version);
+  /// Tells that a target holds a part; sent with the next batch. @pre none.
+  void NotePart(const Runner& runner, std::uint64_t part,
+                std::uint32_t tokens);
+
+ private:
+  struct PartHint {
+    std::uint64_t runner;
+    std::uint64_t part;
+    std::uint32_t tokens;
+  };
+
+  net::asio::awaitable<bool> Register();
+  void SendBatch();
+  void Receive(const std::string& message);
+
+  platform::StoreClient& store_;
+  Fleet& fleet_;
+  std::string host_id_;
+  std::string address_;
+  wire::PeerBus bus_;
+  std::vector<PartHint> new_parts_;
+  std::map<std::uint64_t, std::pair<int, std::uint64_t>> sent_loads_;
+};
+
+}  // namespace beryllane::fleet
+
+#endif  // BERYLLANE_SRC_FLEET_PEERS_H_
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -105,8 +105,7 @@
   const PromptView view = ViewOf(input, version);
   const auto& parts = input.request.parts;
   const WeightsGoal goal = fleet.GoalOf(input.request.model);
-  const bool is_old = version < goal.version;
-  const auto lag = BootClock::now() - goal.known_since;
+  const auto lag = goal.Lag(version, BootClock::now());
   placement::PrefixWeights weights;
   placement::PrefixQuery query;
   query.home_key = view.home_key;
@@ -119,9 +118,8 @@
   for (const auto& runner : runners) {
     placement::PrefixCandidate candidate;
     candidate.id_hash = runner->id_hash;
-    const double unread = static_cast<double>(runner->own_unread_tokens);
     candidate.wait =
-        Millis(unread / weights.tokens_per_ms +
+        Millis(runner->UnreadTokens(now) / weights.tokens_per_ms +
                kWaitMsPerRequest * runner->EstimatedLoad(now));
     if (runner->full_until > now) candidate.wait += kFullPenalty;
     for (std::size_t i = 0;
@@ -132,7 +130,7 @@
     candidate.zone = ShortHash(runner->entry.availability_zone);
     candidate.region =
         ShortHash(RegionOf(place, runner->entry.availability_zone));
-    if (is_old && lag > kFreeLag) candidate.stale_penalty = kStalePenalty;
+    if (lag > kFreeLag) candidate.stale_penalty = kStalePenalty;
     candidates.push_back(candidate);
   }
   const placement::PrefixDecision decision =
@@ -190,11 +188,10 @@
     by_version[runner->VersionOf(input.request.model)].push_back(runner);
   }
   const WeightsGoal goal = fleet.GoalOf(input.request.model);
-  const auto lag = BootClock::now() - goal.known_since;
+  const auto boot_now = BootClock::now();
   std::optional<Choice> best;
   for (auto it = by_version.rbegin(); it != by_version.rend(); ++it) {
-    const bool is_too_old = it->first < goal.version && lag > kLongestLag;
-    if (is_too_old) continue;
+    if (goal.Lag(it->first, boot_now) > kLongestLag) continue;
     Choice choice =
         ChooseForEngine(fleet, place, input, it->second, it->first, now);
     if (!best || choice.price_ms < best->price_ms) best = std::move(choice);
--- a/src/fleet/runner_dialect.cc
+++ b/src/fleet/runner_dialect.cc
@@ -59,11 +59,12 @@
   return std::max(milliseconds(0), left);
 }
 
-RunnerDialect::RunnerDialect(Fleet& fleet, const Place& place,
+RunnerDialect::RunnerDialect(Fleet& fleet, Peers& peers, const Place& place,
                              FleetMetrics& metrics,
                              const net::Request& received,
                              RoutedRequest& routed)
     : fleet_(fleet),
+      peers_(peers),
       place_(place),
       metrics_(metrics),
       received_(received),
@@ -208,7 +209,11 @@
   if (!routed_.service->engine) return;
   const auto keys = PartKeys(routed_.request, choice_.cache_salt);
   for (std::size_t i = 0; i < keys.size(); ++i) {
-    choice_.runner->cache.Use(keys[i], routed_.request.parts[i].tokens);
+    const std::uint32_t tokens = routed_.request.parts[i].tokens;
+    if (!choice_.runner->cache.Holds(keys[i])) {
+      peers_.NotePart(*choice_.runner, keys[i], tokens);
+    }
+    choice_.runner->cache.Use(keys[i], tokens);
   }
 }
 
--- a/src/fleet/runner_dialect.h
+++ b/src/fleet/runner_dialect.h
@@ -13,6 +13,7 @@
 #include "src/exchange/engine.h"
 #include "src/fleet/event_relay.h"
 #include "src/fleet/fleet.h"
+#include "src/fleet/peers.h"
 #include "src/fleet/placement.h"
 
 namespace beryllane::fleet {
@@ -55,8 +56,9 @@
 class RunnerDialect {
  public:
   /// @pre all arguments outlive the dialect.
-  RunnerDialect(Fleet& fleet, const Place& place, FleetMetrics& metrics,
-                const net::Request& received, RoutedRequest& routed);
+  RunnerDialect(Fleet& fleet, Peers& peers, const Place& place,
+                FleetMetrics& metrics, const net::Request& received,
+                RoutedRequest& routed);
   ~RunnerDialect();
   RunnerDialect(const RunnerDialect&) = delete;
   RunnerDialect& operator=(const RunnerDialect&) = delete;
@@ -92,6 +94,7 @@
   void LogChoice() const;
 
   Fleet& fleet_;
+  Peers& peers_;
   const Place& place_;
   FleetMetrics& metrics_;
   const net::Request& received_;
--- a/src/fleet/weights_rollout.cc
+++ b/src/fleet/weights_rollout.cc
@@ -41,11 +41,13 @@
 
 WeightsRollout::WeightsRollout(platform::StoreClient& store,
                                net::HttpClient& client, Fleet& fleet,
-                               std::string host_id, lease::Terms terms,
+                               Peers& peers, std::string host_id,
+                               lease::Terms terms,
                                MetricRegistry& metrics)
     : store_(store),
       client_(client),
       fleet_(fleet),
+      peers_(peers),
       host_id_(std::move(host_id)),
       lease_(host_id_, terms),
       orders_(metrics.GetCounter("beryllane_orders_total",
@@ -181,8 +183,12 @@
   order.version = version;
   order.mode = platform::SwitchMode::kContinue;
   order.holder = host_id_;
-  order.expected_order_count = runner->entry.order_count;
-  const bool may_be_accepted = co_await SendOrder(*runner, order);
+  if (!runner->order_count) co_await Refresh(*runner, model);
+  const bool is_needed =
+      runner->order_count && runner->VersionOf(model) < version;
+  order.expected_order_count = runner->order_count;
+  const bool may_be_accepted =
+      is_needed && co_await SendOrder(*runner, order);
   if (may_be_accepted) co_await AwaitWeights(runner, model, version);
   runner->switching_until = {};
   under_way_.erase(id);
@@ -207,6 +213,7 @@
   options.unstated_idle_limit = std::chrono::nanoseconds(0);
   runner.switching_until = RuntimeClock::now() + kLoadPatience;
   orders_.Add();
+  peers_.AnnounceOrder(runner, order.model, order.version);
   auto answer = co_await client_.Call(runner.entry.address, std::move(request),
                                       options);
   const int status =
@@ -247,6 +254,7 @@
                      {{"target", runner->entry.id},
                       {"model", model},
                       {"version", version}});
+      peers_.AnnounceWeights(*runner, model, version);
       co_return;
     }
     co_await net::Sleep(kReportPace);
@@ -266,7 +274,7 @@
   if (!answer.ok()) co_return false;
   auto report = platform::DecodeReport(answer.value().body());
   if (!report.ok()) co_return false;
-  runner.entry.order_count = report.value().order_count;
+  runner.order_count = report.value().order_count;
   const auto weights = report.value().weights.find(model);
   if (weights != report.value().weights.end()) {
     runner.LearnVersion(model, weights->second);
--- a/src/fleet/weights_rollout.h
+++ b/src/fleet/weights_rollout.h
@@ -11,6 +11,7 @@
 #include "platform/config_codec.h"
 #include "platform/store_client.h"
 #include "src/fleet/fleet.h"
+#include "src/fleet/peers.h"
 
 namespace beryllane::fleet {
 
@@ -20,8 +21,8 @@
  public:
   /// @pre all references outlive the rollout.
   WeightsRollout(platform::StoreClient& store, net::HttpClient& client,
-                 Fleet& fleet, std::string host_id, lease::Terms terms,
-                 MetricRegistry& metrics);
+                 Fleet& fleet, Peers& peers, std::string host_id,
+                 lease::Terms terms, MetricRegistry& metrics);
 
   /// Works until the loop stops. @pre called once.
   net::asio::awaitable<void> Run();
@@ -52,6 +53,7 @@
   platform::StoreClient& store_;
   net::HttpClient& client_;
   Fleet& fleet_;
+  Peers& peers_;
   std::string host_id_;
   lease::Lease lease_;
   bool is_stopped_ = false;
--- a/src/telemetry/log.h
+++ b/src/telemetry/log.h
@@ -41,6 +41,7 @@
 inline constexpr std::string_view kLeaseLost = "lease-lost";
 inline constexpr std::string_view kOrderSent = "order-sent";
 inline constexpr std::string_view kWeightsInPlace = "weights-in-place";
+inline constexpr std::string_view kPeersUnavailable = "peers-unavailable";
 inline constexpr std::string_view kReloaded = "reloaded";
 }  // namespace event
 
