Finish a rollout while stopping; count versions found at the start as old

Cause: a holder stopped giving orders at SIGTERM, and its successor had to wait out the lease; a restarted router counted the lag of old weights from its own start.

--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -127,11 +127,12 @@
   return takers;
 }
 
-bool Fleet::SetGoal(const DesiredWeights& weights) {
+bool Fleet::SetGoal(const DesiredWeights& weights, bool is_first_read) {
   WeightsGoal& goal = goals_[weights.model];
   if (weights.version <= goal.version) return false;
   goal.version = weights.version;
   goal.known_since[weights.version] = BootClock::now();
+  if (is_first_read) goal.found_at_start.insert(weights.version);
   return true;
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -75,6 +76,9 @@
   /// When this router learned of each version.
   std::map<std::uint64_t, BootClock::time_point> known_since;
 
+  /// Versions that were named before this router started, at an unknown time.
+  std::set<std::uint64_t> found_at_start;
+
   /// How long a newer version than `used` has been known; zero where none is.
   /// @pre none.
   std::chrono::nanoseconds Lag(std::uint64_t used,
@@ -107,8 +111,9 @@
   /// Targets of a service that take new requests. @pre none.
   std::vector<std::shared_ptr<Runner>> Takers(const std::string& service) const;
 
-  /// Raises the weights wanted for a model; false where not newer. @pre none.
-  bool SetGoal(const DesiredWeights& weights);
+  /// Raises the weights wanted for a model; false where not newer. What is
+  /// found by the first read may have been named long ago. @pre none.
+  bool SetGoal(const DesiredWeights& weights, bool is_first_read);
   /// Weights wanted for a model; version 0 where none. @pre none.
   WeightsGoal GoalOf(const std::string& model) const;
   const std::map<std::string, WeightsGoal>& goals() const { return goals_; }
--- a/src/fleet/fleet_node.cc
+++ b/src/fleet/fleet_node.cc
@@ -157,7 +157,10 @@
   // What is accepted later could not be finished in the grace time.
   callers_.StopAccepting();
   callers_.CloseIdle();
-  while (RuntimeClock::now() < limit && callers_.running() > 0) {
+  const auto is_busy = [this] {
+    return callers_.running() > 0 || rollout_.is_busy();
+  };
+  while (RuntimeClock::now() < limit && is_busy()) {
     co_await net::Sleep(kPace);
   }
 }
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -189,9 +189,17 @@
   }
   const WeightsGoal goal = fleet.GoalOf(input.request.model);
   const auto boot_now = BootClock::now();
+  // A version found at the start may have been named long ago, unless no
+  // target has it yet.
+  const bool is_goal_in_use =
+      by_version.rbegin()->first >= goal.version &&
+      goal.found_at_start.contains(goal.version);
   std::optional<Choice> best;
   for (auto it = by_version.rbegin(); it != by_version.rend(); ++it) {
-    if (goal.Lag(it->first, boot_now) > kLongestLag) continue;
+    const bool is_too_old =
+        goal.Lag(it->first, boot_now) > kLongestLag ||
+        (is_goal_in_use && it->first < goal.version);
+    if (is_too_old) continue;
     Choice choice =
         ChooseForEngine(fleet, place, input, it->second, it->first, now);
     if (!best || choice.price_ms < best->price_ms) best = std::move(choice);
--- a/src/fleet/store_follower.cc
+++ b/src/fleet/store_follower.cc
@@ -93,7 +93,8 @@
                    {{"version", version}, {"offset", record.offset}});
     on_config_();
   } else if (auto* weights = std::get_if<DesiredWeights>(&decoded.value())) {
-    if (!fleet_.SetGoal(*weights)) return;
+    const bool is_first_read = !freshness_.Age(BootClock::now());
+    if (!fleet_.SetGoal(*weights, is_first_read)) return;
     telemetry::Log(Level::kInfo, telemetry::event::kWeightsNamed,
                    {{"model", weights->model},
                     {"version", weights->version},
--- a/src/fleet/weights_rollout.cc
+++ b/src/fleet/weights_rollout.cc
@@ -1,5 +1,6 @@
 #include "src/fleet/weights_rollout.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
@@ -19,8 +20,10 @@
 using telemetry::Level;
 
 constexpr milliseconds kTick{100};
-// Loading slows down with more targets at once; from the deployments' sheets.
-constexpr std::size_t kAtOnce = 2;
+// Loads that the weight store serves at full speed, as a share of the targets
+// and at least; from the deployments' sheets.
+constexpr std::size_t kTargetsPerLoad = 5;
+constexpr std::size_t kLeastAtOnce = 2;
 // The last holder takes the lease anew at once; others follow in turn, so that
 // only one of them calls the store.
 constexpr milliseconds kFirstTurn{300};
@@ -57,7 +60,7 @@
 
 awaitable<void> WeightsRollout::Run() {
   bool had_work = false;
-  while (!is_stopped_) {
+  for (;;) {
     co_await net::Sleep(kTick);
     const auto work = FindWork();
     if (!work) {
@@ -67,7 +70,8 @@
     if (!had_work) work_since_ = RuntimeClock::now();
     had_work = true;
     if (!lease_.IsHeld(BootClock::now())) {
-      co_await TakeLease();
+      // Another router would have to wait for the end of a lease taken now.
+      if (!is_stopping_) co_await TakeLease();
     } else if (BootClock::now() - renewed_at_ > kRenewAfter) {
       co_await Renew();
     }
@@ -164,8 +168,10 @@
     state.running = runner->own_running;
     states.push_back(state);
   }
+  const rollout::Limits limits{
+      std::max(kLeastAtOnce, states.size() / kTargetsPerLoad)};
   for (const std::size_t index :
-       rollout::PlanOrders(states, work.version, {kAtOnce})) {
+       rollout::PlanOrders(states, work.version, limits)) {
     const auto& runner = work.runners[index];
     under_way_[runner->entry.id] = now;
     net::asio::co_spawn(client_.context(),
--- a/src/fleet/weights_rollout.h
+++ b/src/fleet/weights_rollout.h
@@ -26,8 +26,12 @@
 
   /// Works until the loop stops. @pre called once.
   net::asio::awaitable<void> Run();
-  /// Stops giving orders, for example because the process ends. @pre none.
-  void Stop() { is_stopped_ = true; }
+  /// Ends after the rollout under way; the process is about to end. @pre none.
+  void Stop() { is_stopping_ = true; }
+  /// Whether this router has orders to give or to follow. @pre none.
+  bool is_busy() const {
+    return !under_way_.empty() || lease_.IsHeld(BootClock::now());
+  }
 
  private:
   struct Work {
@@ -56,7 +60,7 @@
   Peers& peers_;
   std::string host_id_;
   lease::Lease lease_;
-  bool is_stopped_ = false;
+  bool is_stopping_ = false;
   bool has_read_lease_ = false;
   RuntimeClock::time_point work_since_;
   RuntimeClock::time_point lease_read_at_;
