--- a/apps/beryllaned.cc
+++ b/apps/beryllaned.cc
@@ -52,6 +52,9 @@
 ABSL_FLAG(bool, platform, false,
           "run on the platform: addresses come from its settings file, targets "
           "and configuration from its store");
+ABSL_FLAG(std::string, platform_settings, "",
+          "path of the platform's settings file; empty takes the path from the "
+          "environment");
 ABSL_FLAG(int, metrics_port, 0,
           "port of the metrics on the platform; 0 serves none");
 
@@ -81,6 +84,7 @@
                                               "fatal_invariants",
                                               "check_settings",
                                               "platform",
+                                              "platform_settings",
                                               "metrics_port"};
   return names;
 }
@@ -179,8 +183,10 @@
 }
 
 int ServePlatform() {
-  const char* path = std::getenv(platform::kSettingsVariable);
-  if (path == nullptr) {
+  std::string path = absl::GetFlag(FLAGS_platform_settings);
+  const char* variable = std::getenv(platform::kSettingsVariable);
+  if (path.empty() && variable != nullptr) path = variable;
+  if (path.empty()) {
     return PrintFault({ErrorId::kSettingMissing,
                        std::string(platform::kSettingsVariable) +
                            " names no settings file",
--- /dev/null
+++ b/standins/runner_main.cc
@@ -0,0 +1,301 @@
+// Stand-in for the platform's targets: a model runner or a plain service that
+// registers itself in the store, with faults that the control port switches.
+#include <absl/flags/flag.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "fmt/format.h"
+#include "src/net/http_client.h"
+#include "src/settings/flag_source.h"
+#include "standins/support.h"
+
+ABSL_FLAG(std::string, listen, "127.0.0.1:7300", "address of the target");
+ABSL_FLAG(std::string, control_listen, "", "address of the control port");
+ABSL_FLAG(std::string, store_control, "", "control port of the store");
+ABSL_FLAG(std::string, id, "i-1", "id of this target");
+ABSL_FLAG(std::string, service, "scribe", "service that it belongs to");
+ABSL_FLAG(std::string, zone, "zone-a", "availability zone");
+ABSL_FLAG(std::string, model, "", "model; empty for a plain service");
+ABSL_FLAG(std::int64_t, step_ms, 5, "time between the events of a stream");
+ABSL_FLAG(int, events, 20, "events of a stream");
+
+namespace beryllane::standins {
+namespace {
+
+using net::asio::awaitable;
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr std::string_view kRequestId = "Attempt-Id";
+
+struct RunnerFaults {
+  // Requests are refused with the proof that they did not run.
+  bool refuse = false;
+  // Requests run and their connection closes without an answer.
+  bool lose_answers = false;
+  // Requests run and fail.
+  bool fail = false;
+  // An answer to another request comes first.
+  bool answer_other = false;
+  // Successes come without the seal.
+  bool unsealed = false;
+  // Nothing is answered.
+  bool silent = false;
+  // Streams break off within the event of this number; negative is never.
+  int cut_at = -1;
+};
+
+class Runner {
+ public:
+  explicit Runner(net::asio::io_context& context)
+      : context_(context),
+        client_(context),
+        id_(absl::GetFlag(FLAGS_id)),
+        born_(RuntimeClock::WallNow().time_since_epoch().count()) {}
+
+  void Start() {
+    net::asio::co_spawn(context_, Register(), net::asio::detached);
+  }
+
+  awaitable<void> Handle(net::Exchange& exchange) {
+    using net::asio::experimental::awaitable_operators::operator||;
+    if (faults_.silent) co_await StaySilent();
+    const std::string path(net::Target(exchange.request()));
+    const std::string_view expected =
+        net::Header(exchange.request(), "Expect-Instance");
+    if (!expected.empty() && expected != id_) {
+      net::Response answer = JsonAnswer(421, json::object());
+      answer.set("Instance-Id", id_);
+      co_await exchange.Respond(std::move(answer));
+    } else if (path == "/api/report") {
+      net::Response answer = JsonAnswer(200, Report());
+      co_await exchange.Respond(std::move(answer));
+    } else if (path == "/api/order") {
+      co_await Order(exchange);
+    } else {
+      co_await (Serve(exchange) || exchange.WaitForClose());
+      if (!exchange.is_reusable()) exchange.CloseAfter();
+    }
+  }
+
+  awaitable<void> Control(net::Exchange& exchange) {
+    const json change = json::parse(exchange.request().body(), nullptr, false);
+    if (change.is_object()) {
+      faults_.refuse = change.value("refuse", faults_.refuse);
+      faults_.lose_answers = change.value("lose_answers", faults_.lose_answers);
+      faults_.fail = change.value("fail", faults_.fail);
+      faults_.answer_other = change.value("answer_other", faults_.answer_other);
+      faults_.unsealed = change.value("unsealed", faults_.unsealed);
+      faults_.silent = change.value("silent", faults_.silent);
+      faults_.cut_at = change.value("cut_at", faults_.cut_at);
+      state_ = change.value("state", state_);
+    }
+    const json seen{{"runs", runs_},
+                    {"last", last_},
+                    {"orders", orders_},
+                    {"version", version_},
+                    {"running", running_}};
+    co_await exchange.Respond(JsonAnswer(200, seen));
+  }
+
+ private:
+  json Models() const {
+    const std::string model = absl::GetFlag(FLAGS_model);
+    if (model.empty()) return json::array();
+    return json::array({{{"name", model},
+                         {"version", version_},
+                         {"adapters", json::array()}}});
+  }
+
+  json Report() const {
+    return {{"stage", "unified"},  {"models", Models()},
+            {"busy", is_loading_}, {"sequence", orders_.size()},
+            {"queued", 0},         {"active", running_},
+            {"born", born_}};
+  }
+
+  // Writes its entry into the store again and again, as targets do.
+  awaitable<void> Register() {
+    constexpr milliseconds kBeat{150};
+    const auto store = net::ParseAddress(absl::GetFlag(FLAGS_store_control));
+    for (std::uint64_t beat = 1; store; ++beat) {
+      const json entry{{"service", absl::GetFlag(FLAGS_service)},
+                       {"address", absl::GetFlag(FLAGS_listen)},
+                       {"zone", absl::GetFlag(FLAGS_zone)},
+                       {"version", "v1"},
+                       {"slots", 8},
+                       {"state", state_},
+                       {"coldRemainingMs", 0},
+                       {"models", Models()},
+                       {"sequence", beat},
+                       {"born", born_}};
+      const json put{{"put",
+                      {{"topic", "keyed.servers"},
+                       {"key", id_},
+                       {"value", entry}}}};
+      net::Request request = net::MakeRequest(net::http::verb::post, "/",
+                                              put.dump(), "application/json");
+      // A beat that is lost is followed by the next.
+      const net::CallOptions options;
+      co_await client_.Call(*store, std::move(request), options);
+      co_await net::Sleep(kBeat);
+    }
+  }
+
+  awaitable<void> Order(net::Exchange& exchange) {
+    constexpr milliseconds kLoadTime{100};
+    const json order = json::parse(exchange.request().body(), nullptr, false);
+    const std::uint64_t token = order.value("fencingToken", std::uint64_t{0});
+    int status = 202;
+    if (token < highest_token_) {
+      status = 412;
+    } else if (is_loading_ || (order.contains("expect") &&
+                               order["expect"] != orders_.size())) {
+      status = 409;
+    } else if (order.value("version", version_) == version_) {
+      status = 200;
+    }
+    highest_token_ = std::max(highest_token_, token);
+    net::Response answer = JsonAnswer(status, json::object());
+    co_await exchange.Respond(std::move(answer));
+    if (status != 202) co_return;
+    orders_.push_back(order);
+    is_loading_ = true;
+    co_await net::Sleep(kLoadTime);
+    version_ = order["version"];
+    is_loading_ = false;
+  }
+
+  awaitable<void> Serve(net::Exchange& exchange) {
+    const net::Request& request = exchange.request();
+    const std::string id(net::Header(request, kRequestId));
+    const std::string_view version = net::Header(request, "Expect-Version");
+    const bool is_other_version =
+        !version.empty() && version != std::to_string(version_);
+    if (faults_.refuse || is_loading_ || is_other_version) {
+      net::Response answer =
+          JsonAnswer(is_other_version ? 421 : 503, json::object());
+      answer.set("Not-Executed", "1");
+      answer.set("Instance-Id", id_);
+      co_await exchange.Respond(std::move(answer));
+      co_return;
+    }
+    ++runs_[id];
+    Remember(request);
+    ++running_;
+    const std::shared_ptr<void> guard(nullptr, [this](void*) { --running_; });
+    if (faults_.lose_answers) {
+      exchange.CloseAfter();
+      co_return;
+    }
+    if (faults_.answer_other) {
+      net::Response other = Answer("another-request", "not yours");
+      co_await exchange.Respond(std::move(other));
+    }
+    if (faults_.fail) {
+      net::Response failure = Answer(id, "failed");
+      failure.result(500);
+      co_await exchange.Respond(std::move(failure));
+    } else if (net::Header(request, "Token-Usage").empty()) {
+      net::Response answer = Answer(id, "ran at " + id_ + ": " + request.body());
+      co_await exchange.Respond(std::move(answer));
+    } else {
+      co_await Stream(exchange, id);
+    }
+  }
+
+  void Remember(const net::Request& request) {
+    last_ = json::object();
+    last_["method"] = std::string(request.method_string());
+    last_["path"] = std::string(net::Target(request));
+    last_["body"] = request.body();
+    for (const auto& field : request) {
+      last_["headers"][std::string(field.name_string())] =
+          std::string(field.value());
+    }
+  }
+
+  net::Response Answer(const std::string& request_id,
+                       const std::string& body) const {
+    net::Response answer = net::MakeResponse(200, body, "text/plain");
+    SetHeaders(answer, request_id);
+    return answer;
+  }
+
+  template <typename Message>
+  void SetHeaders(Message& answer, const std::string& request_id) const {
+    answer.set(std::string(kRequestId), request_id);
+    if (!faults_.unsealed) answer.set("Response-Seal", "seal-of-" + id_);
+    answer.set("Instance-Load", fmt::format("{},0,8", running_));
+    answer.set("Keep-Alive", "timeout=5");
+  }
+
+  awaitable<void> Stream(net::Exchange& exchange, std::string id) {
+    net::http::response<net::http::empty_body> head(net::http::status::ok,
+                                                    net::kHttp11);
+    head.set(net::http::field::content_type, "text/event-stream");
+    SetHeaders(head, id);
+    if (!co_await exchange.StartStream(std::move(head))) co_return;
+    const std::string last(net::Header(exchange.request(), "Last-Event-Id"));
+    const int from = last.empty() ? 1 : std::stoi(last) + 1;
+    for (int i = from; i <= absl::GetFlag(FLAGS_events); ++i) {
+      co_await net::Sleep(milliseconds(absl::GetFlag(FLAGS_step_ms)));
+      const std::string event = fmt::format("id: {}\ndata: word {}\n\n", i, i);
+      if (i == faults_.cut_at) {
+        co_await exchange.Write(event.substr(0, event.size() / 2));
+        exchange.CloseAfter();
+        co_return;
+      }
+      if (!co_await exchange.Write(event)) co_return;
+    }
+    co_await exchange.FinishStream();
+  }
+
+  net::asio::io_context& context_;
+  net::HttpClient client_;
+  std::string id_;
+  std::int64_t born_;
+  std::string state_ = "ready";
+  RunnerFaults faults_;
+  std::map<std::string, int> runs_;
+  json last_;
+  std::vector<json> orders_;
+  std::uint64_t highest_token_ = 0;
+  std::uint64_t version_ = 1;
+  bool is_loading_ = false;
+  int running_ = 0;
+};
+
+int Main(int argc, char** argv) {
+  const std::vector<std::string> names{
+      "listen", "control_listen", "store_control", "id",    "service",
+      "zone",   "model",          "step_ms",       "events"};
+  const auto line = settings::ReadCommandLine(argc, argv, names);
+  if (line.wants_help) {
+    std::puts(settings::HelpText(names).c_str());
+    return 0;
+  }
+  if (!line.faults.empty()) {
+    std::fputs(settings::FaultText(line.faults).c_str(), stderr);
+    return settings::kBadSettingsExit;
+  }
+  net::ContextPool pool(1);
+  Runner runner(pool.at(0));
+  ServerSpec spec;
+  spec.listen = absl::GetFlag(FLAGS_listen);
+  spec.control_listen = absl::GetFlag(FLAGS_control_listen);
+  spec.handler = [&](net::Exchange& e) { return runner.Handle(e); };
+  spec.control = [&](net::Exchange& e) { return runner.Control(e); };
+  return RunServers(pool, spec, [&] { runner.Start(); });
+}
+
+}  // namespace
+}  // namespace beryllane::standins
+
+int main(int argc, char** argv) {
+  return beryllane::standins::Main(argc, argv);
+}
--- /dev/null
+++ b/tests/src/process-platform.cpp
@@ -0,0 +1,465 @@
+// The whole path on the platform's stand-ins: answers whole and unchanged,
+// side effects at most once, refusals true.
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <future>
+
+#include "tests/support/platform_fleet.h"
+
+namespace beryllane::testing {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+std::string WholeStream(int from = 1) {
+  std::string text;
+  for (int i = from; i <= 20; ++i) {
+    const std::string n = std::to_string(i);
+    text += "id: ";
+    text += n;
+    text += "\ndata: word ";
+    text += n;
+    text += "\n\n";
+  }
+  return text;
+}
+
+int StatusOf(const Result<net::Response>& answer) {
+  return answer.ok() ? static_cast<int>(answer.value().result_int()) : 0;
+}
+
+class Platform : public ::testing::Test {
+ protected:
+  void SetAllDesks(const json& change) const {
+    for (int i = 0; i < PlatformFleet::kDesks; ++i) {
+      fleet_.ControlDesk(i, change);
+    }
+  }
+  void SetAllRunners(const json& change) const {
+    for (int i = 0; i < PlatformFleet::kRunners; ++i) {
+      fleet_.ControlRunner(i, change);
+    }
+  }
+  // What the desk that ran a request saw of it.
+  json SeenAtDesk(const std::string& id) const {
+    for (int i = 0; i < PlatformFleet::kDesks; ++i) {
+      const json seen = fleet_.ControlDesk(i, json::object());
+      if (seen["runs"].contains(id)) return seen["last"];
+    }
+    return nullptr;
+  }
+  void PutConfig(const json& config) const {
+    fleet_.Put("keyed.op", "config", config);
+  }
+
+  PlatformFleet fleet_;
+};
+
+TEST_F(Platform, AnAnswerComesBackUnchanged) {
+  const auto answer = fleet_.Send(0, "/book/one?x=1", "r1", {}, "order 7");
+  ASSERT_TRUE(answer.ok()) << answer.error().message;
+  EXPECT_EQ(answer.value().result_int(), 200U);
+  EXPECT_EQ(HeaderOf(answer.value(), "Attempt-Id"), "r1");
+  EXPECT_TRUE(HeaderOf(answer.value(), "Response-Seal").starts_with("seal-of"));
+  EXPECT_NE(answer.value().body().find("order 7"), std::string::npos);
+  const json seen = SeenAtDesk("r1");
+  EXPECT_EQ(seen["method"], "POST");
+  EXPECT_EQ(seen["path"], "/book/one?x=1");
+  EXPECT_EQ(seen["headers"]["Tenant"], "workshop");
+  EXPECT_EQ(seen["headers"]["Host"], PlatformFleet::kHost);
+  EXPECT_FALSE(seen["headers"].contains("Credential"));
+}
+
+TEST_F(Platform, AStreamComesWholeAndItsPromptStaysAtOneRunner) {
+  for (int i = 0; i < 4; ++i) {
+    const auto answer =
+        fleet_.Ask(0, "/advice/x", "stream-" + std::to_string(i));
+    ASSERT_TRUE(answer.ok()) << answer.error().message;
+    EXPECT_EQ(answer.value().body(), WholeStream());
+  }
+  int used = 0;
+  for (int i = 0; i < PlatformFleet::kRunners; ++i) {
+    used += fleet_.RunsAtRunner(i) > 0 ? 1 : 0;
+  }
+  EXPECT_EQ(used, 1);
+}
+
+TEST_F(Platform, WhatACallerSetsInTheRoutersHeadersIsDropped) {
+  const auto answer = fleet_.Send(0, "/book/x", "r1",
+                                  {{"Tenant", "other"},
+                                   {"Expect-Version", "9"},
+                                   {"Cache-Salt", "stolen"},
+                                   {"Kv-From", "10.0.0.1:1/x"},
+                                   {"Hold", "h"},
+                                   {"Connection", "Attempt-Id, X-Hop"},
+                                   {"X-Hop", "1"},
+                                   {"X-Kept", "1"}});
+  EXPECT_EQ(StatusOf(answer), 200);
+  const json headers = SeenAtDesk("r1")["headers"];
+  EXPECT_EQ(headers["Tenant"], "workshop");
+  EXPECT_EQ(headers["X-Kept"], "1");
+  for (const char* name :
+       {"Expect-Version", "Cache-Salt", "Kv-From", "Hold", "X-Hop"}) {
+    EXPECT_FALSE(headers.contains(name)) << name;
+  }
+}
+
+TEST_F(Platform, ACallWhoseAnswerIsLostIsNotRepeated) {
+  SetAllDesks({{"lose_answers", true}});
+  const auto answer = fleet_.Send(0, "/book/x", "r1");
+  EXPECT_EQ(StatusOf(answer), 502);
+  EXPECT_EQ(fleet_.RunsOf("r1"), 1);
+}
+
+TEST_F(Platform, AnIdempotentRequestIsRepeatedOnce) {
+  SetAllDesks({{"lose_answers", true}});
+  EXPECT_EQ(StatusOf(fleet_.Send(0, "/book/stock/x", "r1")), 502);
+  EXPECT_EQ(fleet_.RunsOf("r1"), 2);
+}
+
+TEST_F(Platform, ACallThatOneTargetRefusesRunsAtAnother) {
+  for (int i = 0; i < PlatformFleet::kDesks; ++i) {
+    SetAllDesks({{"refuse", false}});
+    fleet_.ControlDesk(i, {{"refuse", true}});
+    const std::string id = "r" + std::to_string(i);
+    EXPECT_EQ(StatusOf(fleet_.Send(0, "/book/x", id)), 200);
+    EXPECT_EQ(fleet_.RunsOf(id), 1);
+  }
+}
+
+TEST_F(Platform, ACallThatAllRefuseIsRefusedWithATimeToComeBack) {
+  SetAllDesks({{"refuse", true}});
+  const auto answer = fleet_.Send(0, "/book/x", "r1");
+  EXPECT_EQ(StatusOf(answer), 503);
+  EXPECT_NE(HeaderOf(answer.value(), "Retry-After"), "");
+  SetAllDesks({{"refuse", false}});
+  EXPECT_EQ(fleet_.RunsOf("r1"), 0);
+}
+
+TEST_F(Platform, AFailureOfTheTargetIsPassedOn) {
+  SetAllDesks({{"fail", true}});
+  const auto answer = fleet_.Send(0, "/book/x", "r1");
+  EXPECT_EQ(StatusOf(answer), 500);
+  EXPECT_NE(HeaderOf(answer.value(), "Response-Seal"), "");
+  EXPECT_EQ(fleet_.RunsOf("r1"), 1);
+}
+
+TEST_F(Platform, AnAnswerToAnotherRequestIsSkipped) {
+  SetAllDesks({{"answer_other", true}});
+  const auto answer = fleet_.Send(0, "/book/x", "r1");
+  EXPECT_EQ(StatusOf(answer), 200);
+  EXPECT_EQ(HeaderOf(answer.value(), "Attempt-Id"), "r1");
+  EXPECT_EQ(answer.value().body().find("not yours"), std::string::npos);
+  EXPECT_EQ(fleet_.RunsOf("r1"), 1);
+}
+
+TEST_F(Platform, ASuccessWithoutTheTargetsSealIsNotPassedOn) {
+  SetAllDesks({{"unsealed", true}});
+  EXPECT_EQ(StatusOf(fleet_.Send(0, "/book/x", "r1")), 502);
+  EXPECT_EQ(fleet_.RunsOf("r1"), 1);
+}
+
+TEST_F(Platform, AResumableStreamGoesOnAtAnotherRunner) {
+  fleet_.Ask(0, "/advice/x", "first");
+  for (int i = 0; i < PlatformFleet::kRunners; ++i) {
+    if (fleet_.RunsAtRunner(i) > 0) fleet_.ControlRunner(i, {{"cut_at", 7}});
+  }
+  const auto answer = fleet_.Ask(0, "/advice/x", "second");
+  ASSERT_TRUE(answer.ok()) << answer.error().message;
+  EXPECT_EQ(answer.value().body(), WholeStream());
+  EXPECT_EQ(fleet_.RunsOf("second"), 2);
+}
+
+TEST_F(Platform, ACallersOwnResumeGetsOnlyWhatItLacks) {
+  const auto answer =
+      fleet_.Ask(0, "/advice/x", "r1", {{"Last-Event-Id", "12"}});
+  ASSERT_TRUE(answer.ok()) << answer.error().message;
+  EXPECT_EQ(answer.value().body(), WholeStream(13));
+}
+
+TEST_F(Platform, ABrokenStreamNeverLooksComplete) {
+  SetAllRunners({{"cut_at", 7}});
+  EXPECT_FALSE(fleet_.Ask(0, "/chat/x", "r1").ok());
+  EXPECT_EQ(fleet_.RunsOf("r1"), 1);
+}
+
+TEST_F(Platform, RoutesAndCredentialsAreChecked) {
+  EXPECT_EQ(StatusOf(fleet_.Send(0, "/nowhere/x", "r1")), 404);
+  EXPECT_EQ(StatusOf(fleet_.Send(0, "/book/x", "r2", {}, "", "wrong")), 401);
+  EXPECT_EQ(StatusOf(fleet_.Send(0, "/book/x", "r3", {}, "", "")), 401);
+  EXPECT_EQ(StatusOf(fleet_.Send(0, "/open/x", "r4", {}, "", "")), 200);
+  EXPECT_EQ(fleet_.RunsOf("r1") + fleet_.RunsOf("r2") + fleet_.RunsOf("r3"), 0);
+}
+
+TEST_F(Platform, ANewConfigurationIsInForceAndAnOlderOneIsIgnored) {
+  json config = PlatformFleet::FirstConfig();
+  config["version"] = 5;
+  config["tenants"][0]["apiKeys"] = json::array({"new-key"});
+  PutConfig(config);
+  EXPECT_TRUE(Eventually([&] {
+    return StatusOf(fleet_.Send(0, "/book/x", "r", {}, "", "new-key")) == 200;
+  }));
+  EXPECT_EQ(StatusOf(fleet_.Send(0, "/book/x", "old")), 401);
+  PutConfig(PlatformFleet::FirstConfig());
+  config["version"] = 6;
+  config["tenants"][0]["apiKeys"] = json::array({"newest-key"});
+  PutConfig(config);
+  EXPECT_TRUE(Eventually([&] {
+    return StatusOf(fleet_.Send(0, "/book/x", "r", {}, "", "newest-key")) ==
+           200;
+  }));
+  EXPECT_EQ(StatusOf(fleet_.Send(0, "/book/x", "old")), 401);
+}
+
+TEST_F(Platform, WithoutTheStoreCredentialsAreRefusedInTime) {
+  fleet_.ControlStore({{"silent", true}});
+  EXPECT_EQ(StatusOf(fleet_.Send(0, "/book/x", "r1")), 200);
+  EXPECT_TRUE(Eventually([&] { return fleet_.ReadyStatus(0) == 503; }));
+  EXPECT_EQ(StatusOf(fleet_.Send(0, "/book/x", "r2")), 503);
+  EXPECT_EQ(StatusOf(fleet_.Send(0, "/open/x", "r3", {}, "", "")), 200);
+  EXPECT_EQ(fleet_.RunsOf("r2"), 0);
+  fleet_.ControlStore({{"silent", false}});
+  EXPECT_TRUE(fleet_.WaitReady(0));
+}
+
+TEST_F(Platform, ARouterThatKnowsNoConfigurationRefusesAsNotRun) {
+  fleet_.ControlStore({{"down", true}});
+  fleet_.router(0).Kill();
+  fleet_.StartRouter(0);
+  EXPECT_TRUE(Eventually([&] { return fleet_.ReadyStatus(0) == 503; }));
+  EXPECT_EQ(StatusOf(fleet_.Send(0, "/book/x", "r1")), 503);
+  EXPECT_EQ(StatusOf(fleet_.Send(0, "/nowhere/x", "r2")), 503);
+  fleet_.ControlStore({{"down", false}});
+  EXPECT_TRUE(fleet_.WaitReady(0));
+}
+
+TEST_F(Platform, RecordsOfOtherWritersChangeNothing) {
+  fleet_.Put("keyed.servers", "torn", "{\"service\":\"desk\",\"addr");
+  fleet_.Put("keyed.servers", "foreign", json{{"service", 7}});
+  fleet_.Put("keyed.servers", "odd",
+             json{{"service", "desk"},
+                  {"address", "127.0.0.1:1"},
+                  {"zone", "zone-a"},
+                  {"slots", 8},
+                  {"state", "resting"}});
+  fleet_.Put("keyed.op", "config", "{\"version\":99,");
+  fleet_.Put("keyed.op", "config", json{{"version", 100}, {"routes", 3}});
+  fleet_.Put("keyed.op", "unknown/matter", "?");
+  json config = PlatformFleet::FirstConfig();
+  config["version"] = 2;
+  config["tenants"][0]["apiKeys"].push_back("second-key");
+  PutConfig(config);
+  EXPECT_TRUE(Eventually([&] {
+    return StatusOf(fleet_.Send(0, "/book/x", "r", {}, "", "second-key")) ==
+           200;
+  }));
+  for (int i = 0; i < 8; ++i) {
+    EXPECT_EQ(StatusOf(fleet_.Send(0, "/book/x", "k" + std::to_string(i))),
+              200);
+  }
+  EXPECT_NE(fleet_.LogOf(0).find("record-ignored"), std::string::npos);
+}
+
+TEST_F(Platform, AForgottenHistoryIsReadAnew) {
+  json config = PlatformFleet::FirstConfig();
+  config["version"] = 2;
+  config["tenants"][0]["apiKeys"].push_back("second-key");
+  fleet_.ControlStore({{"put",
+                        {{"topic", "keyed.op"},
+                         {"key", "config"},
+                         {"value", config}}},
+                       {"forget_history", "keyed.op"}});
+  fleet_.ControlStore({{"forget_history", "keyed.servers"}});
+  EXPECT_TRUE(Eventually([&] {
+    return StatusOf(fleet_.Send(0, "/book/x", "r", {}, "", "second-key")) ==
+           200;
+  }));
+}
+
+TEST_F(Platform, ADrainingTargetGetsNoNewRequests) {
+  for (int i = 1; i < PlatformFleet::kRunners; ++i) {
+    fleet_.ControlRunner(i, {{"state", "draining"}});
+  }
+  EXPECT_TRUE(Eventually([&] {
+    const std::string log = fleet_.LogOf(0);
+    return log.find("\"state\":\"draining\",\"target\":\"runner-1\"") !=
+               std::string::npos &&
+           log.find("\"state\":\"draining\",\"target\":\"runner-2\"") !=
+               std::string::npos;
+  }));
+  const int before = fleet_.RunsAtRunner(1) + fleet_.RunsAtRunner(2);
+  for (int i = 0; i < 6; ++i) {
+    EXPECT_EQ(StatusOf(fleet_.Ask(0, "/chat/x", "r" + std::to_string(i))), 200);
+  }
+  EXPECT_EQ(fleet_.RunsAtRunner(1) + fleet_.RunsAtRunner(2), before);
+}
+
+TEST_F(Platform, ARunnerThatRestartsUnderItsIdServesAgain) {
+  fleet_.Ask(0, "/advice/x", "first");
+  for (int i = 0; i < PlatformFleet::kRunners; ++i) {
+    fleet_.runner(i).Kill();
+    fleet_.StartRunner(i);
+  }
+  EXPECT_TRUE(Eventually([&] {
+    return StatusOf(fleet_.Ask(0, "/advice/x", "again")) == 200;
+  }));
+}
+
+TEST_F(Platform, AGracefulStopFinishesWhatRuns) {
+  SetAllRunners({{"cut_at", -1}});
+  auto running = std::async(std::launch::async, [&] {
+    std::vector<int> statuses;
+    for (int i = 0; i < 5; ++i) {
+      statuses.push_back(
+          StatusOf(fleet_.Ask(0, "/chat/x", "r" + std::to_string(i))));
+    }
+    return statuses;
+  });
+  EXPECT_TRUE(Eventually([&] { return fleet_.RunsOf("r0") > 0; }));
+  fleet_.router(0).Signal(SIGTERM);
+  EXPECT_TRUE(Eventually([&] { return fleet_.ReadyStatus(0) == 503; }));
+  for (const int status : running.get()) EXPECT_EQ(status, 200);
+  EXPECT_EQ(fleet_.router(0).Wait(), 0);
+}
+
+TEST_F(Platform, ASettingsFileThatBecameUnreadableIsNotTaken) {
+  fleet_.router(0).Signal(SIGHUP);
+  EXPECT_TRUE(Eventually([&] {
+    return fleet_.LogOf(0).find("\"event\":\"reloaded\"") != std::string::npos;
+  }));
+  EXPECT_EQ(StatusOf(fleet_.Send(0, "/book/x", "r1")), 200);
+}
+
+TEST_F(Platform, SmuggledAndOversizedInputRunsNothing) {
+  const std::string head = "POST /book/x HTTP/1.1\r\nHost: " +
+                           std::string(PlatformFleet::kHost) +
+                           "\r\nCredential: " + PlatformFleet::kKey +
+                           "\r\nAttempt-Id: ";
+  const std::string inner =
+      "POST /book/x HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: inner\r\n"
+      "Credential: key-of-workshop\r\nContent-Length: 0\r\n\r\n";
+  const std::vector<std::string> inputs{
+      head + "s1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0"
+             "\r\n\r\n" + inner,
+      head + "s2\r\nTransfer-Encoding: xchunked\r\n\r\n" + inner,
+      head + "s3\r\nTransfer-Encoding: chunked, identity\r\n\r\n" + inner,
+      head + "s4\r\nContent-Length: 2\r\nContent-Length: 200\r\n\r\n" + inner,
+      head + "s5\r\nX-Big: " + std::string(20000, 'x') + "\r\n\r\n",
+      head + "s6\r\nContent-Length: 9999999\r\n\r\n",
+      "POST /book/x HTTP/1.1\r\nHost: shop.example\r\nCredential: "
+      "key-of-workshop\r\nContent-Length: 0\r\n\r\n"};
+  for (const std::string& input : inputs) {
+    const std::string answer =
+        CallRaw(fleet_.router_address(0), input, milliseconds(300));
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 4")) << answer;
+  }
+  for (const char* id : {"s1", "s2", "s3", "s4", "s5", "s6", "inner"}) {
+    EXPECT_EQ(fleet_.RunsOf(id), 0) << id;
+  }
+  EXPECT_EQ(StatusOf(fleet_.Send(0, "/book/x", "after")), 200);
+}
+
+TEST_F(Platform, AChunkedBodyArrivesWhole) {
+  const std::string answer = CallRaw(
+      fleet_.router_address(0),
+      "POST /book/x HTTP/1.1\r\nHost: shop.example\r\nCredential: "
+      "key-of-workshop\r\nAttempt-Id: c1\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n",
+      milliseconds(500));
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
+  EXPECT_EQ(SeenAtDesk("c1")["body"], "abcdefg");
+}
+
+TEST_F(Platform, ACallerThatGoesStopsTheRunner) {
+  CallRaw(fleet_.router_address(0),
+          "POST /chat/x HTTP/1.1\r\nHost: shop.example\r\nCredential: "
+          "key-of-workshop\r\nAttempt-Id: gone\r\nModel: m1\r\nToken-Usage: "
+          "10,20\r\nPrompt-Prefix: a:5,b:5\r\nContent-Length: 0\r\n\r\n",
+          milliseconds(40));
+  EXPECT_TRUE(Eventually([&] {
+    return fleet_.Metric(0, "beryllane_fleet_caller_gone_total") == 1;
+  }));
+  EXPECT_TRUE(Eventually([&] {
+    int running = 0;
+    for (int i = 0; i < PlatformFleet::kRunners; ++i) {
+      running += fleet_.ControlRunner(i, json::object()).value("running", 1);
+    }
+    return running == 0;
+  }));
+}
+
+class PlatformRollout : public ::testing::Test {
+ protected:
+  bool AllHave(int version) const {
+    for (int i = 0; i < PlatformFleet::kRunners; ++i) {
+      if (Seen(i)["version"] != version) return false;
+    }
+    return true;
+  }
+  json Seen(int i) const { return fleet_.ControlRunner(i, json::object()); }
+  void Name(int version) const {
+    fleet_.Put("keyed.op", "version/m1",
+               json{{"model", "m1"}, {"version", version}});
+  }
+
+  PlatformFleet fleet_{3};
+};
+
+TEST_F(PlatformRollout, OneHolderBringsAllRunnersToTheNamedWeights) {
+  Name(2);
+  EXPECT_TRUE(Eventually([&] { return AllHave(2); }));
+  Name(5);
+  EXPECT_TRUE(Eventually([&] { return AllHave(5); }));
+  std::set<std::string> holders;
+  for (int i = 0; i < PlatformFleet::kRunners; ++i) {
+    const json orders = Seen(i)["orders"];
+    EXPECT_EQ(orders.size(), 2U);
+    std::uint64_t last_token = 0;
+    for (const json& order : orders) {
+      holders.insert(order["holder"].get<std::string>());
+      EXPECT_GE(order["fencingToken"].get<std::uint64_t>(), last_token);
+      last_token = order["fencingToken"].get<std::uint64_t>();
+    }
+  }
+  EXPECT_EQ(holders.size(), 1U);
+  const auto answer = fleet_.Ask(0, "/advice/x", "r1");
+  ASSERT_TRUE(answer.ok());
+  EXPECT_EQ(answer.value().body(), WholeStream());
+}
+
+TEST_F(PlatformRollout, AnotherRouterGoesOnWhenTheHolderIsKilled) {
+  Name(2);
+  EXPECT_TRUE(Eventually([&] { return AllHave(2); }));
+  const std::string holder = Seen(0)["orders"][0]["holder"];
+  const int index = holder.back() - '0';
+  fleet_.router(index).Kill();
+  Name(3);
+  EXPECT_TRUE(Eventually([&] { return AllHave(3); }));
+  for (int i = 0; i < PlatformFleet::kRunners; ++i) {
+    const json orders = Seen(i)["orders"];
+    EXPECT_NE(orders[1]["holder"], holder);
+    EXPECT_GT(orders[1]["fencingToken"].get<std::uint64_t>(),
+              orders[0]["fencingToken"].get<std::uint64_t>());
+  }
+}
+
+TEST_F(PlatformRollout, LostAnswersOfTheStoreDelayButDoNotSplitTheLease) {
+  fleet_.ControlStore({{"lose_answers", 0.5}});
+  Name(2);
+  EXPECT_TRUE(Eventually([&] { return AllHave(2); }));
+  std::map<std::uint64_t, std::set<std::string>> holders_by_token;
+  for (int i = 0; i < PlatformFleet::kRunners; ++i) {
+    for (const json& order : Seen(i)["orders"]) {
+      holders_by_token[order["fencingToken"].get<std::uint64_t>()].insert(
+          order["holder"].get<std::string>());
+    }
+  }
+  for (const auto& [token, holders] : holders_by_token) {
+    EXPECT_EQ(holders.size(), 1U) << token;
+  }
+}
+
+}  // namespace
+}  // namespace beryllane::testing
--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -36,6 +36,14 @@
          std::to_string(id >> 8 & 0xFF) + "." + std::to_string(id & 0xFF);
 }
 
+bool Answers(const net::Address& address, const std::string& target) {
+  const auto answer = Call(address, net::http::verb::get, target, "", {},
+                           std::chrono::seconds(1));
+  return answer.ok() && answer.value().result_int() == 200;
+}
+
+}  // namespace
+
 net::Address FreeAddress() {
   constexpr std::uint16_t kFirstPort = 20000;
   static std::uint16_t next_port = kFirstPort;
@@ -49,14 +57,6 @@
   return json::parse(answer.value().body(), nullptr, false);
 }
 
-bool Answers(const net::Address& address, const std::string& target) {
-  const auto answer = Call(address, net::http::verb::get, target, "", {},
-                           std::chrono::seconds(1));
-  return answer.ok() && answer.value().result_int() == 200;
-}
-
-}  // namespace
-
 Process::Process(const std::string& path,
                  const std::vector<std::string>& arguments,
                  const std::string& log_file) {
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -42,6 +42,13 @@
   pid_t pid_ = -1;
 };
 
+/// An address that no other test process uses. @pre none.
+net::Address FreeAddress();
+
+/// Calls a stand-in's control port; null where it does not answer. @pre none.
+nlohmann::json ControlAt(const net::Address& address,
+                         const nlohmann::json& change);
+
 /// A header to send.
 using Headers = std::vector<std::pair<std::string, std::string>>;
 
--- /dev/null
+++ b/tests/support/platform_fleet.cc
@@ -0,0 +1,221 @@
+#include "tests/support/platform_fleet.h"
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+#include "fmt/format.h"
+
+namespace beryllane::testing {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kZones[] = {"zone-a", "zone-b", "zone-c"};
+
+json Route(const std::string& name, const std::string& prefix,
+           const std::string& kind, const std::string& service) {
+  return {{"name", name},          {"host", PlatformFleet::kHost},
+          {"pathPrefix", prefix},  {"kind", kind},
+          {"timeoutMs", 8000},     {"targetLatencyMs", 500},
+          {"priority", 1},         {"service", service},
+          {"maxAttempts", 2},      {"public", false},
+          {"resumable", false}};
+}
+
+}  // namespace
+
+json PlatformFleet::FirstConfig() {
+  json advice = Route("advice", "/advice/", "streaming", "scribe");
+  advice["resumable"] = true;
+  json open = Route("open", "/open/", "safe", "desk");
+  open["public"] = true;
+  return {
+      {"version", 1},
+      {"routes",
+       json::array({advice, Route("chat", "/chat/", "streaming", "scribe"),
+                    Route("book", "/book/", "unsafe", "desk"),
+                    Route("book-inner", "/book/stock/", "safe", "desk"), open})},
+      {"services",
+       json::array({{{"name", "scribe"},
+                     {"healthPath", "/health"},
+                     {"maxConnections", 100},
+                     {"engine",
+                      {{"slots", 8},
+                       {"kvCapacityTokens", 100000},
+                       {"kvTokenBytes", 327680},
+                       {"linkMbps", 200000.0}}}},
+                    {{"name", "desk"},
+                     {"healthPath", "/health"},
+                     {"maxConnections", 100}}})},
+      {"limits",
+       {{"maxHeaderBytes", 8192},
+        {"maxBodyBytes", 65536},
+        {"headerTimeoutMs", 1000},
+        {"idleTimeoutMs", 5000}}},
+      {"tenants", json::array({{{"name", "workshop"},
+                                {"apiKeys", json::array({kKey})},
+                                {"isolated", false}}})}};
+}
+
+PlatformFleet::PlatformFleet(int routers) {
+  std::string pattern =
+      (std::filesystem::temp_directory_path() / "beryllane-XXXXXX").string();
+  directory_ = mkdtemp(pattern.data());
+  store_ = Process(BERYLLANE_STORE,
+                   {"--listen", net::ToString(store_address_),
+                    "--control_listen", net::ToString(store_control_)},
+                   directory_ + "/store.log");
+  if (!Eventually([&] { return ControlStore(json::object()).is_object(); })) {
+    throw std::runtime_error("the store stand-in did not start");
+  }
+  Put("keyed.op", "config", FirstConfig());
+  for (int i = 0; i < kRunners; ++i) {
+    runner_ports_.push_back(FreeAddress());
+    runner_controls_.push_back(FreeAddress());
+    runners_.emplace_back();
+    StartRunner(i);
+  }
+  for (int i = 0; i < kDesks; ++i) {
+    desk_controls_.push_back(FreeAddress());
+    desks_.emplace_back(
+        BERYLLANE_RUNNER,
+        std::vector<std::string>{
+            "--listen", net::ToString(FreeAddress()), "--control_listen",
+            net::ToString(desk_controls_.back()), "--store_control",
+            net::ToString(store_control_), "--id", fmt::format("desk-{}", i),
+            "--service", "desk", "--zone", kZones[i]},
+        fmt::format("{}/desk-{}.log", directory_, i));
+  }
+  const bool is_listed = Eventually([&] {
+    const json ends = ControlStore(json::object())["ends"];
+    return ends.value("keyed.servers", 0) >= kRunners + kDesks;
+  });
+  if (!is_listed) throw std::runtime_error("no target registered");
+  for (int i = 0; i < routers; ++i) {
+    router_ports_.push_back(FreeAddress());
+    ready_ports_.push_back(FreeAddress());
+    peer_ports_.push_back(FreeAddress());
+    metrics_ports_.push_back(FreeAddress());
+    routers_.emplace_back();
+  }
+  for (int i = 0; i < routers; ++i) StartRouter(i);
+  for (int i = 0; i < routers; ++i) {
+    if (!WaitReady(i)) throw std::runtime_error("a router is not ready");
+  }
+}
+
+void PlatformFleet::StartRunner(int i) {
+  runners_[i] = Process(
+      BERYLLANE_RUNNER,
+      {"--listen", net::ToString(runner_ports_[i]), "--control_listen",
+       net::ToString(runner_controls_[i]), "--store_control",
+       net::ToString(store_control_), "--id", fmt::format("runner-{}", i),
+       "--service", "scribe", "--zone", kZones[i], "--model", kModel},
+      fmt::format("{}/runner-{}.log", directory_, i));
+}
+
+void PlatformFleet::StartRouter(int i) {
+  const std::string path = fmt::format("{}/router-{}.toml", directory_, i);
+  std::ofstream file(path);
+  file << fmt::format(
+      "node = \"router-{}\"\nip = \"{}\"\nzone = \"{}\"\nregion = \"{}\"\n"
+      "unknownField = 7\ninternalPortRange = [{},{}]\n"
+      "heartbeatIntervalMs = 150\n"
+      "[zones]\nzone-a = \"r1\"\nzone-b = \"r1\"\nzone-c = \"r2\"\n"
+      "[listen]\nfront = \"{}\"\nready = \"{}\"\n"
+      "[bounds]\nrevokeMs = 3000\nstrictRevocation = true\nleaseMs = 1000\n"
+      "graceS = 8\nretryBudgetSlack = 200\n"
+      "[platform]\naddress = \"{}\"\n",
+      i, router_ports_[i].ip, kZones[i % 3], i % 3 == 2 ? "r2" : "r1",
+      peer_ports_[i].port, peer_ports_[i].port,
+      net::ToString(router_ports_[i]), net::ToString(ready_ports_[i]),
+      net::ToString(store_address_));
+  file.close();
+  routers_[i] =
+      Process(BERYLLANE_ROUTER,
+              {"--platform", "--platform_settings", path, "--metrics_port",
+               std::to_string(metrics_ports_[i].port)},
+              fmt::format("{}/router-{}.log", directory_, i));
+}
+
+bool PlatformFleet::WaitReady(int i) const {
+  return Eventually([&] { return ReadyStatus(i) == 200; });
+}
+
+int PlatformFleet::ReadyStatus(int router) const {
+  const auto answer = Call(ready_ports_[router], net::http::verb::get,
+                           "/api/ready", "", {}, std::chrono::seconds(1));
+  return answer.ok() ? static_cast<int>(answer.value().result_int()) : 0;
+}
+
+void PlatformFleet::Put(const std::string& topic, const std::string& key,
+                        const json& value) const {
+  ControlStore({{"put", {{"topic", topic}, {"key", key}, {"value", value}}}});
+}
+
+int PlatformFleet::RunsOf(const std::string& request_id) const {
+  int runs = 0;
+  for (int i = 0; i < kRunners; ++i) {
+    const json seen = ControlRunner(i, json::object());
+    if (seen.is_object()) runs += seen["runs"].value(request_id, 0);
+  }
+  for (int i = 0; i < kDesks; ++i) {
+    const json seen = ControlDesk(i, json::object());
+    if (seen.is_object()) runs += seen["runs"].value(request_id, 0);
+  }
+  return runs;
+}
+
+int PlatformFleet::RunsAtRunner(int i) const {
+  const json seen = ControlRunner(i, json::object());
+  int runs = 0;
+  for (const auto& [id, count] : seen["runs"].items()) {
+    runs += count.get<int>();
+  }
+  return runs;
+}
+
+Result<net::Response> PlatformFleet::Send(int router, const std::string& path,
+                                          const std::string& id,
+                                          Headers headers,
+                                          const std::string& body,
+                                          const std::string& key) const {
+  headers.emplace_back("Host", kHost);
+  headers.emplace_back("Attempt-Id", id);
+  if (!key.empty()) headers.emplace_back("Credential", key);
+  return Call(router_ports_[router], net::http::verb::post, path, body,
+              headers);
+}
+
+Result<net::Response> PlatformFleet::Ask(int router, const std::string& path,
+                                         const std::string& id,
+                                         Headers headers) const {
+  headers.emplace_back("Model", kModel);
+  headers.emplace_back("Token-Usage", "1000,20");
+  headers.emplace_back("Prompt-Prefix", "aa:500,bb:300,cc:200");
+  return Send(router, path, id, std::move(headers));
+}
+
+double PlatformFleet::Metric(int router, const std::string& prefix) const {
+  const auto answer =
+      Call(metrics_ports_[router], net::http::verb::get, "/metrics");
+  if (!answer.ok()) return 0;
+  std::istringstream lines(answer.value().body());
+  double sum = 0;
+  for (std::string line; std::getline(lines, line);) {
+    if (!line.starts_with(prefix)) continue;
+    sum += std::strtod(line.substr(line.rfind(' ') + 1).c_str(), nullptr);
+  }
+  return sum;
+}
+
+std::string PlatformFleet::LogOf(int router) const {
+  std::ifstream in(fmt::format("{}/router-{}.log", directory_, router));
+  std::stringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+}  // namespace beryllane::testing
--- /dev/null
+++ b/tests/support/platform_fleet.h
@@ -0,0 +1,93 @@
+/// @file
+/// Routers on the platform's stand-ins, as processes, for process tests.
+#ifndef BERYLLANE_TESTS_SUPPORT_PLATFORM_FLEET_H_
+#define BERYLLANE_TESTS_SUPPORT_PLATFORM_FLEET_H_
+
+#include <string>
+#include <vector>
+
+#include "tests/support/fleet.h"
+
+namespace beryllane::testing {
+
+/// A store, three model runners, two plain service processes and routers.
+/// Ended, by their ids, when destroyed.
+class PlatformFleet {
+ public:
+  static constexpr int kRunners = 3;
+  static constexpr int kDesks = 2;
+  static constexpr const char* kHost = "shop.example";
+  static constexpr const char* kKey = "key-of-workshop";
+  static constexpr const char* kModel = "m1";
+
+  /// @pre `routers` > 0.
+  explicit PlatformFleet(int routers = 1);
+
+  /// The configuration that the fleet starts with, of version 1.
+  static nlohmann::json FirstConfig();
+  /// Writes a record into the store. @pre none.
+  void Put(const std::string& topic, const std::string& key,
+           const nlohmann::json& value) const;
+  /// Changes the store's faults; its counts. @pre none.
+  nlohmann::json ControlStore(const nlohmann::json& change) const {
+    return ControlAt(store_control_, change);
+  }
+  /// Changes a model runner's faults; what it saw. @pre `i` < kRunners.
+  nlohmann::json ControlRunner(int i, const nlohmann::json& change) const {
+    return ControlAt(runner_controls_[i], change);
+  }
+  /// Changes a plain service's faults; what it saw. @pre `i` < kDesks.
+  nlohmann::json ControlDesk(int i, const nlohmann::json& change) const {
+    return ControlAt(desk_controls_[i], change);
+  }
+  /// Runs of one request at all targets together. @pre none.
+  int RunsOf(const std::string& request_id) const;
+  /// Runs of all requests at one model runner. @pre `i` < kRunners.
+  int RunsAtRunner(int i) const;
+
+  /// Sends a request of a caller. @pre none.
+  Result<net::Response> Send(int router, const std::string& path,
+                             const std::string& id, Headers headers = {},
+                             const std::string& body = "body",
+                             const std::string& key = kKey) const;
+  /// Sends a request with a shared prompt, which is answered by a stream.
+  /// @pre none.
+  Result<net::Response> Ask(int router, const std::string& path,
+                            const std::string& id,
+                            Headers headers = {}) const;
+  /// Status of a router's readiness; 0 where it does not answer. @pre none.
+  int ReadyStatus(int router) const;
+  /// A counter of a router. @pre none.
+  double Metric(int router, const std::string& prefix) const;
+  /// Starts a router, again if it was ended. @pre none.
+  void StartRouter(int i);
+  /// Starts a model runner again under its id. @pre it was ended.
+  void StartRunner(int i);
+  bool WaitReady(int i) const;
+
+  Process& router(int i) { return routers_[i]; }
+  Process& runner(int i) { return runners_[i]; }
+  const net::Address& router_address(int i) const { return router_ports_[i]; }
+  /// What a router logged. @pre none.
+  std::string LogOf(int router) const;
+
+ private:
+  std::string directory_;
+  net::Address store_address_ = FreeAddress();
+  net::Address store_control_ = FreeAddress();
+  Process store_;
+  std::vector<net::Address> runner_ports_;
+  std::vector<net::Address> runner_controls_;
+  std::vector<Process> runners_;
+  std::vector<net::Address> desk_controls_;
+  std::vector<Process> desks_;
+  std::vector<net::Address> router_ports_;
+  std::vector<net::Address> ready_ports_;
+  std::vector<net::Address> peer_ports_;
+  std::vector<net::Address> metrics_ports_;
+  std::vector<Process> routers_;
+};
+
+}  // namespace beryllane::testing
+
+#endif  // BERYLLANE_TESTS_SUPPORT_PLATFORM_FLEET_H_
