--- a/apps/beryllaned.cc
+++ b/apps/beryllaned.cc
@@ -187,10 +187,10 @@
   const char* variable = std::getenv(platform::kSettingsVariable);
   if (path.empty() && variable != nullptr) path = variable;
   if (path.empty()) {
-    return PrintFault({ErrorId::kSettingMissing,
-                       std::string(platform::kSettingsVariable) +
-                           " names no settings file",
-                       Verdict::kNotRun});
+    return PrintFault(
+        {ErrorId::kSettingMissing,
+         std::string(platform::kSettingsVariable) + " names no settings file",
+         Verdict::kNotRun});
   }
   auto read = platform::ReadSettings(path);
   if (!read.ok()) return PrintFault(read.error());
--- a/include/beryllane/rollout/planner.h
+++ b/include/beryllane/rollout/planner.h
@@ -29,9 +29,9 @@
 
 /// Returns the indices of the targets to order now, in the order in which to
 /// do it: those on the
-/// oldest weights first, then those with the fewest running requests, and never more under
-/// way than allowed. Answers the load of many weights versions in a row: a
-/// target is always sent straight to the newest.
+/// oldest weights first, then those with the fewest running requests, and never
+/// more under way than allowed. Answers the load of many weights versions in a
+/// row: a target is always sent straight to the newest.
 ///
 /// @pre none. Thread-safe. Complexity: n log n.
 std::vector<std::size_t> PlanOrders(const std::vector<TargetState>& targets,
--- a/src/caller/completion_dialect.cc
+++ b/src/caller/completion_dialect.cc
@@ -85,7 +85,8 @@
   metrics_.attempts.Add();
   if (relay_.next_position() > 0) metrics_.resumes.Add();
   relay_.Restart();
-  pending_.emplace(member().load, plan_.tokens - choice_.expected_cached_tokens);
+  pending_.emplace(member().load,
+                   plan_.tokens - choice_.expected_cached_tokens);
   return Target{std::string(member().id),
                 plan_.targets->addresses[choice_.member]};
 }
@@ -107,9 +108,9 @@
   fields.weights_version = plan_.model->weights_version;
   fields.priority = plan_.kind.priority;
   fields.resume_from = relay_.next_position();
-  net::Request request = net::MakeRequest(
-      net::http::verb::post, net::Target(exchange_.request()),
-      EngineBody(body_, fields), "application/json");
+  net::Request request =
+      net::MakeRequest(net::http::verb::post, net::Target(exchange_.request()),
+                       EngineBody(body_, fields), "application/json");
   request.set(kRequestIdHeader, context_.id);
   request.set("traceparent", telemetry::ToTraceparent(attempt_trace_));
   return request;
@@ -227,10 +228,9 @@
   return response;
 }
 
-void CompletionDialect::OnAttemptEnd(const Target& target,
-                                     const Error* error) {
+void CompletionDialect::OnAttemptEnd(const Target& target, const Error* error) {
   pending_.reset();
-  Span span{attempt_trace_,      "target", attempt_start_,
+  Span span{attempt_trace_,      "target",         attempt_start_,
             RuntimeClock::now(), error != nullptr, {}};
   span.attributes.emplace_back("target", target.id);
   if (error == nullptr) {
@@ -270,8 +270,8 @@
   return true;
 }
 
-void CompletionDialect::FinishDecisionSpan(
-    const placement::Decision& decision, RuntimeClock::time_point start) {
+void CompletionDialect::FinishDecisionSpan(const placement::Decision& decision,
+                                           RuntimeClock::time_point start) {
   if (!context_.trace.is_sampled) return;
   Span span{telemetry::Tracer::Child(context_.trace),
             "decision",
@@ -282,11 +282,10 @@
   span.attributes.emplace_back("candidates", std::to_string(decision.count));
   if (decision.refusal == placement::Refusal::kNone) {
     const placement::Candidate& choice = decision.choice();
-    span.attributes.emplace_back(
-        "target", plan_.targets->view.members[choice.member].id);
-    span.attributes.emplace_back(
-        "expected_cached_tokens",
-        std::to_string(choice.expected_cached_tokens));
+    span.attributes.emplace_back("target",
+                                 plan_.targets->view.members[choice.member].id);
+    span.attributes.emplace_back("expected_cached_tokens",
+                                 std::to_string(choice.expected_cached_tokens));
   }
   node_.tracer().Finish(std::move(span));
 }
--- a/src/caller/completion_handler.cc
+++ b/src/caller/completion_handler.cc
@@ -42,8 +42,7 @@
 }
 
 awaitable<void> SendFailure(net::Exchange& exchange, RequestMetrics& metrics,
-                            const RequestContext& context,
-                            const Error& error) {
+                            const RequestContext& context, const Error& error) {
   metrics.CountError(error);
   telemetry::Log(telemetry::Level::kInfo, telemetry::event::kRequestFailed,
                  {{"request", context.id},
--- a/src/caller/service_dialect.cc
+++ b/src/caller/service_dialect.cc
@@ -90,9 +90,8 @@
   is_judged_ = true;
   member().load->Trust();
   // The service itself proves that it did not act.
-  const bool is_refusal =
-      answer.status() >= kServerErrors &&
-      net::Header(answer.head(), "Service-Not-Run") == "1";
+  const bool is_refusal = answer.status() >= kServerErrors &&
+                          net::Header(answer.head(), "Service-Not-Run") == "1";
   if (is_refusal) {
     return {Judgement::Kind::kFailed,
             {ErrorId::kTargetFailed,
@@ -129,7 +128,7 @@
       member().load->Suspect(RuntimeClock::now() + router::kSuspicion);
     }
   }
-  Span span{attempt_trace_,      "target", attempt_start_,
+  Span span{attempt_trace_,      "target",         attempt_start_,
             RuntimeClock::now(), error != nullptr, {}};
   span.attributes.emplace_back("target", target.id);
   node_.tracer().Finish(std::move(span));
--- a/src/coordination/prefix_policy.cc
+++ b/src/coordination/prefix_policy.cc
@@ -71,9 +71,8 @@
     const double assumed = assumed_held(rank);
     const double missing = query.shared_tokens - assumed;
     if (missing > 0) {
-      const double read_price =
-          missing / weights.tokens_per_ms +
-          missing / 1000 * weights.reread_ms_per_thousand;
+      const double read_price = missing / weights.tokens_per_ms +
+                                missing / 1000 * weights.reread_ms_per_thousand;
       const double copy_price =
           source ? CopyMillis(query, source_held - assumed, source_factor)
                  : read_price;
--- a/src/coordination/runtime_clock.cc
+++ b/src/coordination/runtime_clock.cc
@@ -78,7 +78,8 @@
 BootClock::time_point BootClock::now() {
   timespec boot{};
   clock_gettime(CLOCK_BOOTTIME, &boot);
-  const nanoseconds shift = RuntimeClock::now().time_since_epoch() - SteadyNow();
+  const nanoseconds shift =
+      RuntimeClock::now().time_since_epoch() - SteadyNow();
   return time_point(std::chrono::seconds(boot.tv_sec) +
                     nanoseconds(boot.tv_nsec) + shift);
 }
--- a/src/exchange/engine.cc
+++ b/src/exchange/engine.cc
@@ -38,8 +38,8 @@
     error = std::move(end.error);
     verdict = Combine(verdict, error.verdict);
     error.verdict = verdict;
-    const bool may_try_again = With(
-        dialect_, [&](auto& d) { return d.MayTryAgain(error, attempts); });
+    const bool may_try_again =
+        With(dialect_, [&](auto& d) { return d.MayTryAgain(error, attempts); });
     if (!may_try_again) break;
   }
   error.verdict = Combine(verdict, error.verdict);
@@ -133,16 +133,14 @@
       if (!ended.ok()) co_return AttemptEnd{std::nullopt, ended.error()};
       break;
     }
-    auto bytes = With(dialect_, [&](auto& d) {
-      return d.Feed(std::move(part.value()));
-    });
+    auto bytes = With(dialect_,
+                      [&](auto& d) { return d.Feed(std::move(part.value())); });
     if (!bytes.ok()) co_return AttemptEnd{std::nullopt, bytes.error()};
     bool is_sent = true;
     if (!exchange_.is_started()) {
-      auto head = With(
-          dialect_, [&](auto& d) { return d.StreamHead(answer, target); });
-      is_sent =
-          co_await exchange_.StartStream(std::move(head), bytes.value());
+      auto head =
+          With(dialect_, [&](auto& d) { return d.StreamHead(answer, target); });
+      is_sent = co_await exchange_.StartStream(std::move(head), bytes.value());
     } else {
       is_sent = co_await exchange_.Write(bytes.value());
     }
--- a/src/exchange/engine.h
+++ b/src/exchange/engine.h
@@ -77,8 +77,8 @@
 /// - `void OnAttemptEnd(const Target&, const Error*)`: null on success.
 /// - `bool MayTryAgain(Error&, int attempts)`: may replace the error by the
 ///   reason for not trying.
-using Dialect = std::variant<caller::CompletionDialect*, caller::ServiceDialect*,
-                             fleet::RunnerDialect*>;
+using Dialect = std::variant<caller::CompletionDialect*,
+                             caller::ServiceDialect*, fleet::RunnerDialect*>;
 
 /// Runs one request. Used by one coroutine.
 class Engine {
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -42,8 +42,8 @@
   for (const auto& [peer, load] : peer_loads) {
     if (now - load.told_at < kPeerLoadLife) told += load.running;
   }
-  const double others = std::max<double>(
-      0, reported_running - own_running_at_report);
+  const double others =
+      std::max<double>(0, reported_running - own_running_at_report);
   const double age_ms =
       std::chrono::duration<double, std::milli>(now - reported_at).count();
   return own_running +
@@ -102,8 +102,8 @@
     const auto service = config_->services.find(entry.service);
     if (service != config_->services.end() && service->second.engine) {
       runner->cache.set_capacity(static_cast<std::uint64_t>(
-          kCacheShare * static_cast<double>(
-                            service->second.engine->kv_capacity_tokens)));
+          kCacheShare *
+          static_cast<double>(service->second.engine->kv_capacity_tokens)));
     }
   }
   runner->entry = std::move(entry);
@@ -151,8 +151,7 @@
   for (const Route& route : config.routes) {
     if (route.host != host || !path.starts_with(route.path_prefix)) continue;
     const bool is_longer =
-        best == nullptr ||
-        route.path_prefix.size() > best->path_prefix.size();
+        best == nullptr || route.path_prefix.size() > best->path_prefix.size();
     if (is_longer) best = &route;
   }
   return best;
--- a/src/fleet/fleet_front.cc
+++ b/src/fleet/fleet_front.cc
@@ -107,8 +107,8 @@
                    fmt::format("no route for host \"{}\" and path \"{}\"",
                                routed.request.host, routed.request.path));
   }
-  auto account = Authenticate(*routed.config, *routed.route,
-                              routed.request.credential);
+  auto account =
+      Authenticate(*routed.config, *routed.route, routed.request.credential);
   if (!account.ok()) return account.error();
   routed.account = account.value();
   const std::string& name = PickService(*routed.route, routed.request.id);
@@ -195,8 +195,7 @@
       {"attempts", dialect.attempts()},
       {"took_ms", duration_cast<milliseconds>(took).count()},
       {"config", routed.config->version},
-      {"config_age_ms",
-       age ? duration_cast<milliseconds>(*age).count() : -1}};
+      {"config_age_ms", age ? duration_cast<milliseconds>(*age).count() : -1}};
   if (ending.kind == Ending::Kind::kAnswer) {
     fields["status"] = ending.answer.result_int();
   }
--- a/src/fleet/fleet_node.cc
+++ b/src/fleet/fleet_node.cc
@@ -114,8 +114,8 @@
 }
 
 awaitable<void> FleetNode::AnswerMetrics(net::Exchange& exchange) {
-  net::Response answer = net::MakeResponse(200, metrics_.Print(),
-                                           "text/plain; version=0.0.4");
+  net::Response answer =
+      net::MakeResponse(200, metrics_.Print(), "text/plain; version=0.0.4");
   co_await exchange.Respond(std::move(answer));
 }
 
--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -56,8 +56,7 @@
 awaitable<bool> Peers::Register() {
   std::string topic(platform::kPeerTopic);
   std::string value = json{{"address", address_}}.dump();
-  auto appended =
-      co_await store_.Append(topic, host_id_, value, std::nullopt);
+  auto appended = co_await store_.Append(topic, host_id_, value, std::nullopt);
   if (!appended.ok()) co_return false;
   auto listed = co_await store_.Newest(topic);
   if (!listed.ok()) co_return false;
@@ -117,8 +116,7 @@
     parts.push_back({hint.runner, hint.part, hint.tokens});
   }
   new_parts_.clear();
-  const json message{
-      {kSender, host_id_}, {kLoads, loads}, {kParts, parts}};
+  const json message{{kSender, host_id_}, {kLoads, loads}, {kParts, parts}};
   const auto bytes = json::to_msgpack(message);
   bus_.Send(std::string(bytes.begin(), bytes.end()));
 }
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -17,9 +17,8 @@
 class Peers {
  public:
   /// @pre all references outlive this object. `address` is the own `ip:port`.
-  Peers(net::asio::io_context& loop, platform::StoreClient& store,
-        Fleet& fleet, std::string host_id, std::string address,
-        MetricRegistry& metrics);
+  Peers(net::asio::io_context& loop, platform::StoreClient& store, Fleet& fleet,
+        std::string host_id, std::string address, MetricRegistry& metrics);
 
   /// Opens the bus, finds the other routers in the store and sends hints until
   /// the loop stops. @pre called once.
@@ -32,8 +31,7 @@
   void AnnounceWeights(const Runner& runner, const std::string& model,
                        std::uint64_t version);
   /// Tells that a target holds a part; sent with the next batch. @pre none.
-  void NotePart(const Runner& runner, std::uint64_t part,
-                std::uint32_t tokens);
+  void NotePart(const Runner& runner, std::uint64_t part, std::uint32_t tokens);
 
  private:
   struct PartHint {
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -93,8 +93,8 @@
   // anew at the runner that serves it already.
   const auto& parts = input.request.parts;
   const std::size_t deepest = parts.size() < 2 ? 0 : parts.size() - 2;
-  view.home_key = HashBytes(parts.empty() ? input.request.id
-                                          : parts[deepest].id);
+  view.home_key =
+      HashBytes(parts.empty() ? input.request.id : parts[deepest].id);
   return view;
 }
 
@@ -118,9 +118,8 @@
   for (const auto& runner : runners) {
     placement::PrefixCandidate candidate;
     candidate.id_hash = runner->id_hash;
-    candidate.wait =
-        Millis(runner->UnreadTokens(now) / weights.tokens_per_ms +
-               kWaitMsPerRequest * runner->EstimatedLoad(now));
+    candidate.wait = Millis(runner->UnreadTokens(now) / weights.tokens_per_ms +
+                            kWaitMsPerRequest * runner->EstimatedLoad(now));
     if (runner->full_until > now) candidate.wait += kFullPenalty;
     for (std::size_t i = 0;
          i < view.keys.size() && runner->cache.Holds(view.keys[i]); ++i) {
@@ -143,8 +142,9 @@
   if (version > 0) choice.weights_version = version;
   choice.cache_salt = view.salt;
   const std::uint32_t held = candidates[decision.index].held_tokens;
-  choice.unread_tokens =
-      input.request.prompt_tokens > held ? input.request.prompt_tokens - held : 0;
+  choice.unread_tokens = input.request.prompt_tokens > held
+                             ? input.request.prompt_tokens - held
+                             : 0;
   choice.price_ms = decision.price.count();
   choice.candidates = candidates.size();
   return choice;
@@ -191,14 +191,12 @@
   const auto boot_now = BootClock::now();
   // A version found at the start may have been named long ago, unless no
   // target has it yet.
-  const bool is_goal_in_use =
-      by_version.rbegin()->first >= goal.version &&
-      goal.found_at_start.contains(goal.version);
+  const bool is_goal_in_use = by_version.rbegin()->first >= goal.version &&
+                              goal.found_at_start.contains(goal.version);
   std::optional<Choice> best;
   for (auto it = by_version.rbegin(); it != by_version.rend(); ++it) {
-    const bool is_too_old =
-        goal.Lag(it->first, boot_now) > kLongestLag ||
-        (is_goal_in_use && it->first < goal.version);
+    const bool is_too_old = goal.Lag(it->first, boot_now) > kLongestLag ||
+                            (is_goal_in_use && it->first < goal.version);
     if (is_too_old) continue;
     Choice choice =
         ChooseForEngine(fleet, place, input, it->second, it->first, now);
--- a/src/fleet/placement.h
+++ b/src/fleet/placement.h
@@ -45,8 +45,8 @@
 
 /// Chooses a target, or says why there is none. @pre none. Not thread-safe.
 Result<Choice> ChooseTarget(const Fleet& fleet, const Place& place,
-                      const PlacementInput& input,
-                      RuntimeClock::time_point now);
+                            const PlacementInput& input,
+                            RuntimeClock::time_point now);
 
 /// Keys of a prompt's shared parts under a cache salt. The last part is the
 /// request's own and has none. @pre none. Thread-safe.
--- a/src/fleet/runner_dialect.cc
+++ b/src/fleet/runner_dialect.cc
@@ -89,10 +89,9 @@
     return Error{ErrorId::kDeadlineExceeded, "the deadline passed",
                  Verdict::kNotRun};
   }
-  const PlacementInput input{*routed_.service, routed_.account,
-                             routed_.request, tried_};
-  auto choice =
-      ChooseTarget(fleet_, place_, input, RuntimeClock::now());
+  const PlacementInput input{*routed_.service, routed_.account, routed_.request,
+                             tried_};
+  auto choice = ChooseTarget(fleet_, place_, input, RuntimeClock::now());
   if (!choice.ok()) return choice.error();
   choice_ = std::move(choice.value());
   Runner& runner = *choice_.runner;
@@ -106,18 +105,17 @@
 }
 
 void RunnerDialect::LogChoice() const {
-  telemetry::Log(
-      telemetry::Level::kInfo, telemetry::event::kPlaced,
-      {{"request", routed_.request.id},
-       {"target", choice_.runner->entry.id},
-       {"attempt", tried_.size()},
-       {"price_ms", choice_.price_ms},
-       {"candidates", choice_.candidates},
-       {"unread_tokens", choice_.unread_tokens},
-       {"load", choice_.runner->EstimatedLoad(RuntimeClock::now())},
-       {"weights", choice_.weights_version.value_or(0)},
-       {"config", routed_.config->version},
-       {"time_left_ms", routed_.TimeLeft().count()}});
+  telemetry::Log(telemetry::Level::kInfo, telemetry::event::kPlaced,
+                 {{"request", routed_.request.id},
+                  {"target", choice_.runner->entry.id},
+                  {"attempt", tried_.size()},
+                  {"price_ms", choice_.price_ms},
+                  {"candidates", choice_.candidates},
+                  {"unread_tokens", choice_.unread_tokens},
+                  {"load", choice_.runner->EstimatedLoad(RuntimeClock::now())},
+                  {"weights", choice_.weights_version.value_or(0)},
+                  {"config", routed_.config->version},
+                  {"time_left_ms", routed_.TimeLeft().count()}});
 }
 
 net::Request RunnerDialect::Encode(const Target& target) {
@@ -151,8 +149,8 @@
                                const Target& target) {
   const platform::TargetAnswer facts = platform::DecodeAnswer(answer.head());
   const auto now = RuntimeClock::now();
-  const bool is_foreign = !facts.request_id.empty() &&
-                          facts.request_id != routed_.request.id;
+  const bool is_foreign =
+      !facts.request_id.empty() && facts.request_id != routed_.request.id;
   if (is_foreign) {
     metrics_.foreign_answers.Add();
     return {Judgement::Kind::kForeign, {}};
@@ -189,10 +187,10 @@
     LearnCachedParts();
     return {Judgement::Kind::kRelay, {}};
   }
-  Error error{ErrorId::kTargetFailed,
-              fmt::format("{} answered with status {}", target.id,
-                          facts.status),
-              Verdict::kRan};
+  Error error{
+      ErrorId::kTargetFailed,
+      fmt::format("{} answered with status {}", target.id, facts.status),
+      Verdict::kRan};
   if (facts.status < kMultipleChoices) {
     error = {ErrorId::kTargetAnswerInvalid,
              target.id + " sent a success that is not the target's own",
--- a/src/fleet/runner_dialect.h
+++ b/src/fleet/runner_dialect.h
@@ -83,7 +83,9 @@
   /// Attempts made. @pre none.
   int attempts() const { return static_cast<int>(tried_.size()); }
   /// Id of the target tried last; empty before the first. @pre none.
-  std::string last_target() const { return tried_.empty() ? "" : tried_.back(); }
+  std::string last_target() const {
+    return tried_.empty() ? "" : tried_.back();
+  }
 
  private:
   bool IsIdempotent() const {
--- a/src/fleet/store_follower.cc
+++ b/src/fleet/store_follower.cc
@@ -44,8 +44,7 @@
 awaitable<bool> StoreFollower::ReadOperator() {
   const auto sent = BootClock::now();
   if (!operator_next_) {
-    auto page =
-        co_await store_.Newest(std::string(platform::kOperatorTopic));
+    auto page = co_await store_.Newest(std::string(platform::kOperatorTopic));
     if (!page.ok()) {
       SetUp(false, page.error().message);
       co_return false;
@@ -166,13 +165,12 @@
       known->second->entry.born != entry.value().born ||
       known->second->entry.is_draining != entry.value().is_draining;
   if (is_change) {
-    telemetry::Log(
-        Level::kInfo, telemetry::event::kTargetChanged,
-        {{"target", record.key},
-         {"address", net::ToString(entry.value().address)},
-         {"service", entry.value().service},
-         {"state", entry.value().is_draining ? "draining" : "ready"},
-         {"offset", record.offset}});
+    telemetry::Log(Level::kInfo, telemetry::event::kTargetChanged,
+                   {{"target", record.key},
+                    {"address", net::ToString(entry.value().address)},
+                    {"service", entry.value().service},
+                    {"state", entry.value().is_draining ? "draining" : "ready"},
+                    {"offset", record.offset}});
   }
   fleet_.SetTarget(std::move(entry.value()));
 }
@@ -196,8 +194,7 @@
     removal_due_.try_emplace(id, returns_until_);
     return;
   }
-  telemetry::Log(Level::kInfo, telemetry::event::kTargetGone,
-                 {{"target", id}});
+  telemetry::Log(Level::kInfo, telemetry::event::kTargetGone, {{"target", id}});
   fleet_.RemoveTarget(id);
 }
 
--- a/src/fleet/weights_rollout.cc
+++ b/src/fleet/weights_rollout.cc
@@ -45,8 +45,7 @@
 WeightsRollout::WeightsRollout(platform::StoreClient& store,
                                net::HttpClient& client, Fleet& fleet,
                                Peers& peers, std::string host_id,
-                               lease::Terms terms,
-                               MetricRegistry& metrics)
+                               lease::Terms terms, MetricRegistry& metrics)
     : store_(store),
       client_(client),
       fleet_(fleet),
@@ -193,8 +192,7 @@
   const bool is_needed =
       runner->order_count && runner->VersionOf(model) < version;
   order.expected_order_count = runner->order_count;
-  const bool may_be_accepted =
-      is_needed && co_await SendOrder(*runner, order);
+  const bool may_be_accepted = is_needed && co_await SendOrder(*runner, order);
   if (may_be_accepted) co_await AwaitWeights(runner, model, version);
   runner->switching_until = {};
   under_way_.erase(id);
@@ -210,9 +208,9 @@
   if (!lease_.IsHeld(BootClock::now())) co_return false;
   platform::WeightsOrder fenced = order;
   fenced.fencing_token = lease_.token();
-  net::Request request = platform::MakeTargetCall(
-      net::http::verb::post, platform::kOrderPath,
-      platform::EncodeOrder(fenced), runner.entry.id);
+  net::Request request =
+      platform::MakeTargetCall(net::http::verb::post, platform::kOrderPath,
+                               platform::EncodeOrder(fenced), runner.entry.id);
   net::CallOptions options;
   options.connect_timeout = kOrderPatience;
   options.answer_timeout = kOrderPatience;
@@ -220,8 +218,8 @@
   runner.switching_until = RuntimeClock::now() + kLoadPatience;
   orders_.Add();
   peers_.AnnounceOrder(runner, order.model, order.version);
-  auto answer = co_await client_.Call(runner.entry.address, std::move(request),
-                                      options);
+  auto answer =
+      co_await client_.Call(runner.entry.address, std::move(request), options);
   const int status =
       answer.ok() ? static_cast<int>(answer.value().result_int()) : 0;
   telemetry::Log(Level::kInfo, telemetry::event::kOrderSent,
@@ -275,8 +273,8 @@
   options.connect_timeout = kOrderPatience;
   options.answer_timeout = kOrderPatience;
   options.unstated_idle_limit = std::chrono::nanoseconds(0);
-  auto answer = co_await client_.Call(runner.entry.address, std::move(request),
-                                      options);
+  auto answer =
+      co_await client_.Call(runner.entry.address, std::move(request), options);
   if (!answer.ok()) co_return false;
   auto report = platform::DecodeReport(answer.value().body());
   if (!report.ok()) co_return false;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -7,8 +7,8 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
-#include <charconv>
 #include <boost/beast/http/read.hpp>
+#include <charconv>
 #include <tuple>
 #include <utility>
 
@@ -61,9 +61,7 @@
 
 AnswerStream::AnswerStream(std::unique_ptr<Connection> connection,
                            HttpClient& client, CallOptions options)
-    : connection_(std::move(connection)),
-      client_(client),
-      options_(options) {
+    : connection_(std::move(connection)), client_(client), options_(options) {
   ResetParser();
 }
 
@@ -98,10 +96,10 @@
     if (code) {
       const ErrorId id = watchdog.has_expired() ? ErrorId::kTargetSilent
                                                 : ErrorId::kTargetFailed;
-      const std::string what = watchdog.has_expired()
-                                   ? fmt::format("no answer within {} ms",
-                                                 Millis(options_.answer_timeout))
-                                   : "no answer: " + code.message();
+      const std::string what =
+          watchdog.has_expired() ? fmt::format("no answer within {} ms",
+                                               Millis(options_.answer_timeout))
+                                 : "no answer: " + code.message();
       co_return MakeError(id, connection_->address, what,
                           ExchangeStage::kRequestWritten);
     }
--- a/src/net/socket_options.cc
+++ b/src/net/socket_options.cc
@@ -23,16 +23,15 @@
   error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
   socket.set_option(asio::socket_base::keep_alive(true), ignored);
-  socket.set_option(
-      IntegerOption<IPPROTO_TCP, TCP_KEEPIDLE>(kProbeIdleSeconds), ignored);
+  socket.set_option(IntegerOption<IPPROTO_TCP, TCP_KEEPIDLE>(kProbeIdleSeconds),
+                    ignored);
   socket.set_option(
       IntegerOption<IPPROTO_TCP, TCP_KEEPINTVL>(kProbeIntervalSeconds),
       ignored);
   socket.set_option(IntegerOption<IPPROTO_TCP, TCP_KEEPCNT>(kProbeCount),
                     ignored);
   socket.set_option(
-      IntegerOption<IPPROTO_TCP, TCP_USER_TIMEOUT>(kUnacknowledgedMs),
-      ignored);
+      IntegerOption<IPPROTO_TCP, TCP_USER_TIMEOUT>(kUnacknowledgedMs), ignored);
   socket.non_blocking(true, ignored);
 }
 
--- a/standins/metadata_store.cc
+++ b/standins/metadata_store.cc
@@ -147,8 +147,7 @@
   faults_.lose_answers = change.value("lose_answers", faults_.lose_answers);
   if (change.contains("put")) {
     const json& put = change["put"];
-    Put(topics_[put["topic"].get<std::string>()],
-        put["key"].get<std::string>(),
+    Put(topics_[put["topic"].get<std::string>()], put["key"].get<std::string>(),
         put["value"].is_string() ? put["value"].get<std::string>()
                                  : put["value"].dump());
   }
--- a/standins/runner_main.cc
+++ b/standins/runner_main.cc
@@ -133,10 +133,9 @@
                        {"models", Models()},
                        {"sequence", beat},
                        {"born", born_}};
-      const json put{{"put",
-                      {{"topic", "keyed.servers"},
-                       {"key", id_},
-                       {"value", entry}}}};
+      const json put{
+          {"put",
+           {{"topic", "keyed.servers"}, {"key", id_}, {"value", entry}}}};
       net::Request request = net::MakeRequest(net::http::verb::post, "/",
                                               put.dump(), "application/json");
       // A beat that is lost is followed by the next.
@@ -201,7 +200,8 @@
       failure.result(500);
       co_await exchange.Respond(std::move(failure));
     } else if (net::Header(request, "Token-Usage").empty()) {
-      net::Response answer = Answer(id, "ran at " + id_ + ": " + request.body());
+      net::Response answer =
+          Answer(id, "ran at " + id_ + ": " + request.body());
       co_await exchange.Respond(std::move(answer));
     } else {
       co_await Stream(exchange, id);
--- a/tests/src/process-platform.cpp
+++ b/tests/src/process-platform.cpp
@@ -266,11 +266,9 @@
   json config = PlatformFleet::FirstConfig();
   config["version"] = 2;
   config["tenants"][0]["apiKeys"].push_back("second-key");
-  fleet_.ControlStore({{"put",
-                        {{"topic", "keyed.op"},
-                         {"key", "config"},
-                         {"value", config}}},
-                       {"forget_history", "keyed.op"}});
+  fleet_.ControlStore(
+      {{"put", {{"topic", "keyed.op"}, {"key", "config"}, {"value", config}}},
+       {"forget_history", "keyed.op"}});
   fleet_.ControlStore({{"forget_history", "keyed.servers"}});
   EXPECT_TRUE(Eventually([&] {
     return StatusOf(fleet_.Send(0, "/book/x", "r", {}, "", "second-key")) ==
@@ -302,9 +300,8 @@
     fleet_.runner(i).Kill();
     fleet_.StartRunner(i);
   }
-  EXPECT_TRUE(Eventually([&] {
-    return StatusOf(fleet_.Ask(0, "/advice/x", "again")) == 200;
-  }));
+  EXPECT_TRUE(Eventually(
+      [&] { return StatusOf(fleet_.Ask(0, "/advice/x", "again")) == 200; }));
 }
 
 TEST_F(Platform, AGracefulStopFinishesWhatRuns) {
@@ -325,24 +322,27 @@
 }
 
 TEST_F(Platform, ASettingsFileThatBecameUnreadableIsNotTaken) {
+  fleet_.WriteSettings(0, "node = \"router-0\"\nip = ");
   fleet_.router(0).Signal(SIGHUP);
   EXPECT_TRUE(Eventually([&] {
     return fleet_.LogOf(0).find("\"event\":\"reloaded\"") != std::string::npos;
   }));
+  EXPECT_NE(fleet_.LogOf(0).find("\"ok\":false"), std::string::npos);
   EXPECT_EQ(StatusOf(fleet_.Send(0, "/book/x", "r1")), 200);
 }
 
 TEST_F(Platform, SmuggledAndOversizedInputRunsNothing) {
-  const std::string head = "POST /book/x HTTP/1.1\r\nHost: " +
-                           std::string(PlatformFleet::kHost) +
-                           "\r\nCredential: " + PlatformFleet::kKey +
-                           "\r\nAttempt-Id: ";
+  const std::string head =
+      "POST /book/x HTTP/1.1\r\nHost: " + std::string(PlatformFleet::kHost) +
+      "\r\nCredential: " + PlatformFleet::kKey + "\r\nAttempt-Id: ";
   const std::string inner =
       "POST /book/x HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: inner\r\n"
       "Credential: key-of-workshop\r\nContent-Length: 0\r\n\r\n";
   const std::vector<std::string> inputs{
-      head + "s1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0"
-             "\r\n\r\n" + inner,
+      head +
+          "s1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0"
+          "\r\n\r\n" +
+          inner,
       head + "s2\r\nTransfer-Encoding: xchunked\r\n\r\n" + inner,
       head + "s3\r\nTransfer-Encoding: chunked, identity\r\n\r\n" + inner,
       head + "s4\r\nContent-Length: 2\r\nContent-Length: 200\r\n\r\n" + inner,
--- /dev/null
+++ b/tests/src/unit-fleet.cpp
@@ -0,0 +1,353 @@
+// The router's belief about the fleet, and what it decides from it.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <random>
+
+#include "beryllane/freshness/freshness.h"
+#include "beryllane/limit/retry_window.h"
+#include "beryllane/placement/prefix_policy.h"
+#include "beryllane/rollout/planner.h"
+#include "src/fleet/event_relay.h"
+#include "src/fleet/fleet.h"
+#include "src/fleet/placement.h"
+
+namespace beryllane::fleet {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Pauses the clock for one test.
+class PausedClock {
+ public:
+  PausedClock() { RuntimeClock::Pause(); }
+  ~PausedClock() { RuntimeClock::Resume(); }
+  PausedClock(const PausedClock&) = delete;
+  PausedClock& operator=(const PausedClock&) = delete;
+};
+
+TargetEntry Entry(const std::string& id, const std::string& service = "s",
+                  std::uint64_t version = 1) {
+  TargetEntry entry;
+  entry.id = id;
+  entry.service = service;
+  entry.address = {"10.0.0.1", 80};
+  entry.availability_zone = "za";
+  entry.slots = 8;
+  entry.weights["m"] = version;
+  return entry;
+}
+
+TEST(FleetState, VersionsOfTheConfigurationOnlyRise) {
+  Fleet fleet;
+  FleetConfig config;
+  config.version = 5;
+  EXPECT_TRUE(fleet.SetConfig(config));
+  EXPECT_FALSE(fleet.SetConfig(config));
+  config.version = 4;
+  EXPECT_FALSE(fleet.SetConfig(config));
+  EXPECT_EQ(fleet.config()->version, 5U);
+}
+
+TEST(FleetState, AnOlderBeatOrIncarnationChangesNothing) {
+  Fleet fleet;
+  TargetEntry entry = Entry("i");
+  entry.born = 10;
+  entry.beat = 7;
+  entry.is_draining = true;
+  fleet.SetTarget(entry);
+  entry.beat = 6;
+  entry.is_draining = false;
+  fleet.SetTarget(entry);
+  EXPECT_TRUE(fleet.Takers("s").empty());
+  entry.born = 9;
+  entry.beat = 99;
+  fleet.SetTarget(entry);
+  EXPECT_TRUE(fleet.Takers("s").empty());
+  entry.born = 11;
+  entry.beat = 1;
+  fleet.SetTarget(entry);
+  EXPECT_EQ(fleet.Takers("s").size(), 1U);
+}
+
+TEST(FleetState, ANewIncarnationHasAnEmptyCache) {
+  Fleet fleet;
+  TargetEntry entry = Entry("i");
+  entry.born = 10;
+  fleet.SetTarget(entry);
+  fleet.Takers("s")[0]->cache.Use(1, 100);
+  entry.beat = 1;
+  fleet.SetTarget(entry);
+  EXPECT_TRUE(fleet.Takers("s")[0]->cache.Holds(1));
+  entry.born = 11;
+  fleet.SetTarget(entry);
+  EXPECT_FALSE(fleet.Takers("s")[0]->cache.Holds(1));
+}
+
+TEST(FleetState, NewWeightsEmptyTheCacheAndNeverFall) {
+  Runner runner;
+  runner.LearnVersion("m", 3);
+  runner.cache.Use(1, 100);
+  runner.LearnVersion("m", 2);
+  EXPECT_EQ(runner.VersionOf("m"), 3U);
+  EXPECT_TRUE(runner.cache.Holds(1));
+  runner.LearnVersion("m", 4);
+  EXPECT_FALSE(runner.cache.Holds(1));
+}
+
+TEST(FleetState, TheLongestPrefixWins) {
+  FleetConfig config;
+  for (const char* prefix : {"/a/", "/a/b/", "/"}) {
+    Route route;
+    route.host = "h";
+    route.path_prefix = prefix;
+    route.name = prefix;
+    config.routes.push_back(route);
+  }
+  EXPECT_EQ(FindRoute(config, "h", "/a/b/c")->name, "/a/b/");
+  EXPECT_EQ(FindRoute(config, "h", "/a/bc")->name, "/a/");
+  EXPECT_EQ(FindRoute(config, "h", "/x")->name, "/");
+  EXPECT_EQ(FindRoute(config, "other", "/x"), nullptr);
+}
+
+TEST(FleetState, TrafficIsSplitByWeight) {
+  Route route;
+  route.shares = {{"s", 90}, {"t", 10}, {"never", 0}};
+  std::map<std::string, int> counts;
+  for (int i = 0; i < 5000; ++i) {
+    ++counts[PickService(route, "id-" + std::to_string(i))];
+  }
+  EXPECT_NEAR(counts["t"], 500, 100);
+  EXPECT_EQ(counts["never"], 0);
+}
+
+// Lag counts from the first version that is newer than the one in use, not
+// from the newest: hunted as answers on weights that were two versions old.
+TEST(FleetState, LagCountsFromTheFirstNewerVersion) {
+  const PausedClock paused;
+  Fleet fleet;
+  fleet.SetGoal({"m", 2}, false);
+  RuntimeClock::Advance(seconds(5));
+  fleet.SetGoal({"m", 3}, false);
+  RuntimeClock::Advance(seconds(1));
+  const WeightsGoal goal = fleet.GoalOf("m");
+  const auto now = BootClock::now();
+  EXPECT_GE(goal.Lag(1, now), seconds(6));
+  EXPECT_LT(goal.Lag(1, now), milliseconds(6500));
+  EXPECT_LT(goal.Lag(2, now), milliseconds(1500));
+  EXPECT_EQ(goal.Lag(3, now), seconds(0));
+}
+
+class FleetPlacement : public ::testing::Test {
+ protected:
+  FleetPlacement() {
+    service_.name = "s";
+    service_.engine = EngineTraits{100000, 327680, 200000, 8};
+    request_.id = "r";
+    request_.model = "m";
+    request_.prompt_tokens = 1000;
+    request_.parts = {{"aa", 500}, {"bb", 400}, {"cc", 100}};
+  }
+  Result<Choice> Choose() {
+    const PlacementInput input{service_, nullptr, request_, tried_};
+    return ChooseTarget(fleet_, place_, input, RuntimeClock::now());
+  }
+
+  const PausedClock paused_;
+  Fleet fleet_;
+  Place place_{"za", "ra", {{"za", "ra"}}};
+  Service service_;
+  platform::CallerRequest request_;
+  std::vector<std::string> tried_;
+};
+
+TEST_F(FleetPlacement, ARouterThatFoundTheGoalAtItsStartUsesNewWeights) {
+  fleet_.SetTarget(Entry("old", "s", 1));
+  fleet_.SetTarget(Entry("new", "s", 2));
+  fleet_.SetGoal({"m", 2}, true);
+  fleet_.Takers("s")[0]->own_running = 0;
+  for (auto& runner : fleet_.Takers("s")) {
+    if (runner->entry.id == "new") runner->own_unread_tokens = 1000000;
+  }
+  EXPECT_EQ(Choose().value().runner->entry.id, "new");
+}
+
+TEST_F(FleetPlacement, OldWeightsAreNotUsedOnceTheyLagTooLong) {
+  fleet_.SetTarget(Entry("old", "s", 1));
+  fleet_.SetGoal({"m", 2}, false);
+  EXPECT_TRUE(Choose().ok());
+  RuntimeClock::Advance(seconds(7));
+  const auto refused = Choose();
+  ASSERT_FALSE(refused.ok());
+  EXPECT_EQ(refused.error().verdict, Verdict::kNotRun);
+}
+
+TEST_F(FleetPlacement, SuspectsAreUsedOnlyWhereNoOtherIsLeft) {
+  fleet_.SetTarget(Entry("a"));
+  fleet_.SetTarget(Entry("b"));
+  fleet_.Takers("s")[0]->Suspect(RuntimeClock::now());
+  EXPECT_EQ(Choose().value().runner->entry.id, "b");
+  tried_.push_back("b");
+  EXPECT_EQ(Choose().value().runner->entry.id, "a");
+  tried_.push_back("a");
+  EXPECT_FALSE(Choose().ok());
+}
+
+TEST_F(FleetPlacement, SaltsSeparateVersionsAndIsolatedAccounts) {
+  Account open{"t1", {}, {}, false};
+  Account isolated{"t2", {}, {}, true};
+  EXPECT_EQ(CacheSalt(3, &open), CacheSalt(3, nullptr));
+  EXPECT_NE(CacheSalt(3, &open), CacheSalt(4, &open));
+  EXPECT_NE(CacheSalt(3, &isolated), CacheSalt(3, &open));
+}
+
+TEST(FleetEvents, WholeEventsOnceAndInOrder) {
+  EventRelay relay(std::nullopt);
+  EXPECT_EQ(relay.Feed("id: 1\ndata: a\n\nid: 2\nda").value(),
+            "id: 1\ndata: a\n\n");
+  EXPECT_FALSE(relay.is_at_event_end());
+  relay.Restart();
+  EXPECT_EQ(relay.Feed("id: 1\ndata: a\n\nid: 2\ndata: b\n\n").value(),
+            "id: 2\ndata: b\n\n");
+  EXPECT_EQ(relay.last_id(), 2U);
+  EXPECT_FALSE(relay.Feed("id: 4\ndata: d\n\n").ok());
+}
+
+RC_GTEST_PROP(FleetEvents, AnyCutsGiveTheSameStream, ()) {
+  std::string whole;
+  for (int i = 1; i <= 12; ++i) {
+    whole += "id: " + std::to_string(i) + "\ndata: w\n\n";
+  }
+  EventRelay relay(std::nullopt);
+  std::string out;
+  std::mt19937 random(*rc::gen::arbitrary<std::uint32_t>());
+  const auto draw = [&random](std::size_t most) {
+    return std::uniform_int_distribution<std::size_t>(1, most)(random);
+  };
+  while (relay.last_id().value_or(0) < 12) {
+    // A target goes on after the last whole event and breaks off somewhere.
+    std::string rest;
+    for (std::uint64_t i = relay.last_id().value_or(0) + 1; i <= 12; ++i) {
+      rest += "id: " + std::to_string(i) + "\ndata: w\n\n";
+    }
+    const std::size_t cut = draw(rest.size());
+    std::size_t at = 0;
+    while (at < cut) {
+      const std::size_t size = draw(cut - at);
+      const auto fed = relay.Feed(rest.substr(at, size));
+      RC_ASSERT(fed.ok());
+      out += fed.value();
+      at += size;
+    }
+    relay.Restart();
+  }
+  RC_ASSERT(out == whole);
+}
+
+TEST(FreshnessProof, OnlyAnEmptyAnswerProvesTheWait) {
+  Freshness freshness;
+  const BootClock::time_point start(seconds(100));
+  EXPECT_FALSE(freshness.IsWithin(seconds(5), start));
+  freshness.OnAnswer(start, false, seconds(2));
+  EXPECT_EQ(freshness.Age(start + seconds(1)), seconds(1));
+  freshness.OnAnswer(start, true, seconds(2));
+  EXPECT_EQ(freshness.Age(start + seconds(3)), seconds(1));
+  EXPECT_TRUE(freshness.IsWithin(seconds(5), start + seconds(6)));
+  EXPECT_FALSE(freshness.IsWithin(seconds(5), start + seconds(7)));
+  // An answer that lay in a buffer during a freeze proves nothing new.
+  freshness.OnAnswer(start - seconds(1), true, seconds(2));
+  EXPECT_EQ(freshness.Age(start + seconds(3)), seconds(1));
+}
+
+// No span of the window's length holds more repeats than the share allows.
+RC_GTEST_PROP(RetryWindowBudget, HoldsInEachWindow, ()) {
+  RetryWindow window({0.2, 5, seconds(10)});
+  std::vector<std::pair<std::int64_t, bool>> log;
+  std::int64_t now = 1000000;
+  const int steps = *rc::gen::inRange(1, 400);
+  for (int i = 0; i < steps; ++i) {
+    now += *rc::gen::inRange(0, 400);
+    const RuntimeClock::time_point at{milliseconds(now)};
+    if (*rc::gen::inRange(0, 3) == 0) {
+      window.CountRequest(at);
+      log.emplace_back(now, false);
+    } else if (window.TryTake(at)) {
+      log.emplace_back(now, true);
+    }
+  }
+  for (const auto& [end, is_taken] : log) {
+    if (!is_taken) continue;
+    double requests = 0;
+    double repeats = 0;
+    for (const auto& [at, is_repeat] : log) {
+      // Requests count in the window and in the slot before it.
+      if (at <= end && at > end - 11000) requests += is_repeat ? 0 : 1;
+      if (at <= end && at > end - 10000) repeats += is_repeat ? 1 : 0;
+    }
+    RC_ASSERT(repeats <= 0.2 * requests + 5);
+  }
+}
+
+TEST(RolloutPlan, OldestWeightsFirstAndNeverTooManyAtOnce) {
+  using rollout::PlanOrders;
+  using rollout::TargetState;
+  const std::vector<TargetState> targets{
+      {3, false, true, 0}, {2, false, true, 5}, {1, false, true, 9},
+      {2, false, true, 1}, {1, true, true, 0},  {1, false, false, 0}};
+  EXPECT_EQ(PlanOrders(targets, 3, {4}), (std::vector<std::size_t>{2, 3, 1}));
+  EXPECT_EQ(PlanOrders(targets, 3, {2}), (std::vector<std::size_t>{2}));
+  EXPECT_TRUE(PlanOrders(targets, 3, {1}).empty());
+}
+
+// The load of few long shared parts: each part is read at few runners.
+TEST(PrefixPolicy, ManyRequestsOnFewPartsReadEachPartOnce) {
+  placement::PrefixWeights weights;
+  std::vector<placement::PrefixCandidate> candidates(9);
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    candidates[i].id_hash = HashBytes("runner-" + std::to_string(i)).low;
+    candidates[i].zone = static_cast<std::uint32_t>(i % 3);
+    candidates[i].region = candidates[i].zone;
+    candidates[i].distance = i % 3 == 0 ? placement::Distance::kSameZone
+                                        : placement::Distance::kOtherRegion;
+  }
+  for (int part = 0; part < 50; ++part) {
+    placement::PrefixQuery query;
+    query.home_key = HashBytes("part-" + std::to_string(part));
+    query.shared_tokens = 6300;
+    query.kv_bytes_per_token = 327680;
+    query.link_mbps = 260000;
+    std::set<std::size_t> used;
+    for (int request = 0; request < 5; ++request) {
+      for (auto& candidate : candidates) candidate.held_tokens = 0;
+      for (const std::size_t holder : used) {
+        candidates[holder].held_tokens = query.shared_tokens;
+      }
+      used.insert(placement::ChooseByPrefix(candidates, query, weights).index);
+    }
+    EXPECT_LE(used.size(), 2U);
+  }
+}
+
+// The load of a burst on one part: a queue at its home moves requests on, and
+// the part is copied rather than read again.
+TEST(PrefixPolicy, AQueueAtTheHomeMovesRequestsWithACopy) {
+  placement::PrefixWeights weights;
+  placement::PrefixQuery query;
+  query.home_key = HashBytes("hot");
+  query.shared_tokens = 6300;
+  query.kv_bytes_per_token = 327680;
+  query.link_mbps = 260000;
+  std::vector<placement::PrefixCandidate> candidates(3);
+  for (std::size_t i = 0; i < 3; ++i) candidates[i].id_hash = i + 1;
+  const std::size_t home =
+      placement::ChooseByPrefix(candidates, query, weights).index;
+  candidates[home].held_tokens = query.shared_tokens;
+  candidates[home].wait = milliseconds(800);
+  const auto moved = placement::ChooseByPrefix(candidates, query, weights);
+  EXPECT_NE(moved.index, home);
+  EXPECT_EQ(moved.fetch_from, home);
+}
+
+}  // namespace
+}  // namespace beryllane::fleet
--- /dev/null
+++ b/tests/src/unit-platform_codec.cpp
@@ -0,0 +1,234 @@
+// The adapter to the platform: what is decoded, and what is refused.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "platform/base64.h"
+#include "platform/config_codec.h"
+#include "platform/names.h"
+#include "platform/request_codec.h"
+#include "platform/settings.h"
+#include "platform/store_client.h"
+
+namespace beryllane::platform {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char* kSettingsText = R"(
+node = "front-1"
+ip = "10.1.0.30"
+zone = "za"
+region = "ra"
+someNewField = { a = 1 }
+internalPortRange = [7340, 7355]
+[zones]
+za = "ra"
+zb = "rb"
+[listen]
+front = "10.1.0.30:8782"
+ready = "10.1.0.30:8789"
+[bounds]
+revokeMs = 4000
+retryBudgetRatio = 0.3
+graceS = 9
+[platform]
+address = "10.200.1.7:8784"
+)";
+
+TEST(PlatformSettings, AreDecodedAndUnknownFieldsIgnored) {
+  const auto settings = ParseSettings(kSettingsText);
+  ASSERT_TRUE(settings.ok()) << settings.error().message;
+  EXPECT_EQ(settings.value().host_id, "front-1");
+  EXPECT_EQ(settings.value().first_internal_port, 7340);
+  EXPECT_EQ(settings.value().region_of_zone.at("zb"), "rb");
+  EXPECT_EQ(settings.value().bounds.revocation, milliseconds(4000));
+  EXPECT_EQ(settings.value().bounds.grace, milliseconds(9000));
+  EXPECT_DOUBLE_EQ(settings.value().bounds.retry_ratio, 0.3);
+  EXPECT_EQ(settings.value().store.port, 8784);
+}
+
+TEST(PlatformSettings, AnErrorNamesTheFieldOrTheLine) {
+  const auto missing = ParseSettings("node = \"x\"\n");
+  ASSERT_FALSE(missing.ok());
+  EXPECT_NE(missing.error().message.find("ip"), std::string::npos);
+  const auto torn = ParseSettings("node = \"x\"\nip = \n");
+  ASSERT_FALSE(torn.ok());
+  EXPECT_NE(torn.error().message.find("line 2"), std::string::npos);
+}
+
+std::string Record(const std::string& key, const std::string& value) {
+  const std::size_t length = 1 + key.size() + value.size();
+  std::string out{0, 0, static_cast<char>(length >> 8),
+                  static_cast<char>(length & 0xFF)};
+  out += static_cast<char>(key.size());
+  return out + key + value;
+}
+
+TEST(PlatformRecords, AreSplitAndCounted) {
+  const std::string head(16, '\0');
+  const auto page = DecodeRecords(head + Record("a", "1") + Record("b", ""), 7);
+  ASSERT_TRUE(page.ok());
+  ASSERT_EQ(page.value().records.size(), 2U);
+  EXPECT_EQ(page.value().records[0].offset, 7U);
+  EXPECT_EQ(page.value().records[1].key, "b");
+  EXPECT_EQ(page.value().records[1].value, "");
+  EXPECT_EQ(page.value().next, 9U);
+}
+
+TEST(PlatformRecords, ATornAnswerIsAnError) {
+  const std::string whole = std::string(16, '\0') + Record("key", "value");
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    const bool is_empty_page = size == 16;
+    EXPECT_EQ(DecodeRecords(whole.substr(0, size), 0).ok(), is_empty_page)
+        << size;
+  }
+}
+
+RC_GTEST_PROP(PlatformRecords, AnyBytesAreSplitOrRefused,
+              (const std::string& bytes)) {
+  const auto page = DecodeRecords(std::string(16, '\0') + bytes, 3);
+  const bool is_sound = !page.ok() || page.value().next >= 3U;
+  RC_ASSERT(is_sound);
+}
+
+TEST(PlatformBase64, DecodesWithAndWithoutPadding) {
+  EXPECT_EQ(DecodeBase64("aGVsbG8="), "hello");
+  EXPECT_EQ(DecodeBase64("aGVsbG8h"), "hello!");
+  EXPECT_EQ(DecodeBase64(""), "");
+  EXPECT_FALSE(DecodeBase64("aGV$bG8="));
+}
+
+TEST(PlatformTargets, AnEntryIsDecoded) {
+  const auto entry = DecodeTarget(
+      "i-1",
+      R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1",
+          "slots":4,"state":"draining","sequence":12,"born":5,
+          "models":[{"name":"m","version":3,"adapters":[]}]})");
+  ASSERT_TRUE(entry.ok()) << entry.error().message;
+  EXPECT_TRUE(entry.value().is_draining);
+  EXPECT_EQ(entry.value().beat, 12U);
+  EXPECT_EQ(entry.value().born, 5);
+  EXPECT_EQ(entry.value().weights.at("m"), 3U);
+}
+
+TEST(PlatformTargets, EntriesOfOtherWritersNameNoTarget) {
+  const std::string good =
+      R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":4,"state":"ready"})";
+  EXPECT_TRUE(DecodeTarget("i", good).ok());
+  for (std::size_t size = 0; size < good.size(); ++size) {
+    EXPECT_FALSE(DecodeTarget("i", good.substr(0, size)).ok());
+  }
+  for (const char* field : {"service", "address", "zone", "slots", "state"}) {
+    std::string renamed = good;
+    renamed.replace(renamed.find(field), 1, "X");
+    EXPECT_FALSE(DecodeTarget("i", renamed).ok()) << field;
+  }
+  EXPECT_FALSE(DecodeTarget("i", R"([1,2])").ok());
+  EXPECT_FALSE(
+      DecodeTarget(
+          "i",
+          R"({"service":"s","address":"x","zone":"z","slots":4,"state":"ready"})")
+          .ok());
+}
+
+TEST(PlatformConfig, RoutesAccountsAndLimitsAreDecoded) {
+  const auto record = DecodeOperatorRecord("config",
+                                           R"({"version":7,"routes":[
+        {"name":"r","host":"h","pathPrefix":"/a/","kind":"streaming",
+         "resumable":true,"maxAttempts":3,"timeoutMs":6000.5,
+         "trafficSplit":[{"service":"s","weight":90},{"service":"t","weight":10}]},
+        {"host":"h","pathPrefix":"/b/","kind":"unsafe","service":"s"}],
+       "services":[{"name":"s","engine":{"slots":4,"kvCapacityTokens":9}}],
+       "limits":{"maxHeaderBytes":100},
+       "tenants":[{"name":"t1","apiKeys":["k1","k2"],"isolated":true}]})");
+  ASSERT_TRUE(record.ok()) << record.error().message;
+  const auto& config = std::get<fleet::FleetConfig>(record.value());
+  EXPECT_EQ(config.version, 7U);
+  EXPECT_TRUE(config.routes[0].is_stream);
+  EXPECT_EQ(config.routes[0].repeatability, fleet::Repeatability::kIdempotent);
+  EXPECT_EQ(config.routes[0].shares.size(), 2U);
+  EXPECT_EQ(config.routes[0].timeout, milliseconds(6000));
+  EXPECT_EQ(config.routes[1].repeatability, fleet::Repeatability::kOnce);
+  EXPECT_EQ(config.limits.head_bytes, 100U);
+  EXPECT_EQ(config.accounts[config.account_by_credential.at("k2")].name, "t1");
+  EXPECT_TRUE(config.accounts[0].is_isolated);
+}
+
+TEST(PlatformConfig, WrongRecordsAreErrorsAndOtherKeysAreNot) {
+  EXPECT_FALSE(DecodeOperatorRecord("config", "{\"version\":").ok());
+  EXPECT_FALSE(DecodeOperatorRecord("config", "{\"version\":1}").ok());
+  EXPECT_FALSE(DecodeOperatorRecord("version/m", "{}").ok());
+  const auto other = DecodeOperatorRecord("job/x", "?");
+  ASSERT_TRUE(other.ok());
+  EXPECT_TRUE(std::holds_alternative<std::monostate>(other.value()));
+}
+
+net::Request Received() {
+  net::Request request =
+      net::MakeRequest(net::http::verb::post, "/a/b?q=1", "body");
+  request.set("Host", "Shop.Example:80");
+  request.set("Attempt-Id", "id-1");
+  request.set("Credential", " key ");
+  request.set("Deadline-Ms", "800");
+  request.set("Token-Usage", "1460, 80");
+  request.set("Prompt-Prefix", "5c:800,zz,91:410");
+  return request;
+}
+
+TEST(PlatformRequests, AreDecoded) {
+  const auto decoded = DecodeRequest(Received());
+  ASSERT_TRUE(decoded.ok());
+  EXPECT_EQ(decoded.value().host, "shop.example");
+  EXPECT_EQ(decoded.value().path, "/a/b");
+  EXPECT_EQ(decoded.value().credential, "key");
+  EXPECT_EQ(decoded.value().deadline, milliseconds(800));
+  EXPECT_EQ(decoded.value().max_output_tokens, 80U);
+  ASSERT_EQ(decoded.value().parts.size(), 2U);
+  EXPECT_EQ(decoded.value().parts[1].tokens, 410U);
+  net::Request anonymous = Received();
+  anonymous.erase("Attempt-Id");
+  EXPECT_FALSE(DecodeRequest(anonymous).ok());
+}
+
+TEST(PlatformRequests, EachRouterHeaderIsReplacedOrDropped) {
+  net::Request received = Received();
+  for (const std::string_view name :
+       {header::kAccount, header::kExpectVersion, header::kCacheSalt,
+        header::kFetchFrom, header::kSaveTo, header::kResumeFrom,
+        header::kBackupTo, header::kPin, header::kReservation,
+        header::kUrgency}) {
+    received.insert(name.data(), "of the caller");
+  }
+  TargetCall call;
+  call.target_id = "i-1";
+  call.time_left = milliseconds(700);
+  call.account = "t1";
+  const net::Request sent = EncodeForTarget(received, "body", call);
+  for (const auto& field : sent) {
+    EXPECT_NE(field.value(), "of the caller") << field.name_string();
+  }
+  EXPECT_EQ(net::Header(sent, "Tenant"), "t1");
+  EXPECT_EQ(net::Header(sent, "Expect-Instance"), "i-1");
+  EXPECT_EQ(net::Header(sent, "Deadline-Ms"), "700");
+  EXPECT_EQ(net::Header(sent, "Credential"), "");
+  EXPECT_EQ(net::Header(sent, "Host"), "Shop.Example:80");
+  EXPECT_EQ(net::Target(sent), "/a/b?q=1");
+}
+
+TEST(PlatformAnswers, ProofsAndLoadsAreDecoded) {
+  net::Response response = net::MakeResponse(503, "", "text/plain");
+  response.set("Not-Executed", "1");
+  response.set("Instance-Load", "3, 1, 8");
+  response.set("Content-Encoding", "gzip");
+  const TargetAnswer refused = DecodeAnswer(response.base());
+  EXPECT_TRUE(refused.is_not_run);
+  EXPECT_TRUE(refused.is_encoded);
+  EXPECT_EQ(refused.waiting, 1);
+  const net::Response other = net::MakeResponse(421, "", "text/plain");
+  EXPECT_TRUE(DecodeAnswer(other.base()).is_not_run);
+  const net::Response failed = net::MakeResponse(503, "", "text/plain");
+  EXPECT_FALSE(DecodeAnswer(failed.base()).is_not_run);
+}
+
+}  // namespace
+}  // namespace beryllane::platform
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -16,11 +16,11 @@
 
 json Route(const std::string& name, const std::string& prefix,
            const std::string& kind, const std::string& service) {
-  return {{"name", name},          {"host", PlatformFleet::kHost},
-          {"pathPrefix", prefix},  {"kind", kind},
-          {"timeoutMs", 8000},     {"targetLatencyMs", 500},
-          {"priority", 1},         {"service", service},
-          {"maxAttempts", 2},      {"public", false},
+  return {{"name", name},         {"host", PlatformFleet::kHost},
+          {"pathPrefix", prefix}, {"kind", kind},
+          {"timeoutMs", 8000},    {"targetLatencyMs", 500},
+          {"priority", 1},        {"service", service},
+          {"maxAttempts", 2},     {"public", false},
           {"resumable", false}};
 }
 
@@ -31,32 +31,31 @@
   advice["resumable"] = true;
   json open = Route("open", "/open/", "safe", "desk");
   open["public"] = true;
-  return {
-      {"version", 1},
-      {"routes",
-       json::array({advice, Route("chat", "/chat/", "streaming", "scribe"),
-                    Route("book", "/book/", "unsafe", "desk"),
-                    Route("book-inner", "/book/stock/", "safe", "desk"), open})},
-      {"services",
-       json::array({{{"name", "scribe"},
-                     {"healthPath", "/health"},
-                     {"maxConnections", 100},
-                     {"engine",
-                      {{"slots", 8},
-                       {"kvCapacityTokens", 100000},
-                       {"kvTokenBytes", 327680},
-                       {"linkMbps", 200000.0}}}},
-                    {{"name", "desk"},
-                     {"healthPath", "/health"},
-                     {"maxConnections", 100}}})},
-      {"limits",
-       {{"maxHeaderBytes", 8192},
-        {"maxBodyBytes", 65536},
-        {"headerTimeoutMs", 1000},
-        {"idleTimeoutMs", 5000}}},
-      {"tenants", json::array({{{"name", "workshop"},
-                                {"apiKeys", json::array({kKey})},
-                                {"isolated", false}}})}};
+  return {{"version", 1},
+          {"routes",
+           json::array({advice, Route("chat", "/chat/", "streaming", "scribe"),
+                        Route("book", "/book/", "unsafe", "desk"),
+                        Route("book-inner", "/book/stock/", "safe", "desk"),
+                        open})},
+          {"services", json::array({{{"name", "scribe"},
+                                     {"healthPath", "/health"},
+                                     {"maxConnections", 100},
+                                     {"engine",
+                                      {{"slots", 8},
+                                       {"kvCapacityTokens", 100000},
+                                       {"kvTokenBytes", 327680},
+                                       {"linkMbps", 200000.0}}}},
+                                    {{"name", "desk"},
+                                     {"healthPath", "/health"},
+                                     {"maxConnections", 100}}})},
+          {"limits",
+           {{"maxHeaderBytes", 8192},
+            {"maxBodyBytes", 65536},
+            {"headerTimeoutMs", 1000},
+            {"idleTimeoutMs", 5000}}},
+          {"tenants", json::array({{{"name", "workshop"},
+                                    {"apiKeys", json::array({kKey})},
+                                    {"isolated", false}}})}};
 }
 
 PlatformFleet::PlatformFleet(int routers) {
@@ -117,29 +116,33 @@
 }
 
 void PlatformFleet::StartRouter(int i) {
-  const std::string path = fmt::format("{}/router-{}.toml", directory_, i);
-  std::ofstream file(path);
-  file << fmt::format(
-      "node = \"router-{}\"\nip = \"{}\"\nzone = \"{}\"\nregion = \"{}\"\n"
-      "unknownField = 7\ninternalPortRange = [{},{}]\n"
-      "heartbeatIntervalMs = 150\n"
-      "[zones]\nzone-a = \"r1\"\nzone-b = \"r1\"\nzone-c = \"r2\"\n"
-      "[listen]\nfront = \"{}\"\nready = \"{}\"\n"
-      "[bounds]\nrevokeMs = 3000\nstrictRevocation = true\nleaseMs = 1000\n"
-      "graceS = 8\nretryBudgetSlack = 200\n"
-      "[platform]\naddress = \"{}\"\n",
-      i, router_ports_[i].ip, kZones[i % 3], i % 3 == 2 ? "r2" : "r1",
-      peer_ports_[i].port, peer_ports_[i].port,
-      net::ToString(router_ports_[i]), net::ToString(ready_ports_[i]),
-      net::ToString(store_address_));
-  file.close();
+  WriteSettings(
+      i,
+      fmt::format(
+          "node = \"router-{}\"\nip = \"{}\"\nzone = \"{}\"\nregion = \"{}\"\n"
+          "unknownField = 7\ninternalPortRange = [{},{}]\n"
+          "heartbeatIntervalMs = 150\n"
+          "[zones]\nzone-a = \"r1\"\nzone-b = \"r1\"\nzone-c = \"r2\"\n"
+          "[listen]\nfront = \"{}\"\nready = \"{}\"\n"
+          "[bounds]\nrevokeMs = 3000\nstrictRevocation = true\nleaseMs = 1000\n"
+          "graceS = 8\nretryBudgetSlack = 200\n"
+          "[platform]\naddress = \"{}\"\n",
+          i, router_ports_[i].ip, kZones[i % 3], i % 3 == 2 ? "r2" : "r1",
+          peer_ports_[i].port, peer_ports_[i].port,
+          net::ToString(router_ports_[i]), net::ToString(ready_ports_[i]),
+          net::ToString(store_address_)));
   routers_[i] =
       Process(BERYLLANE_ROUTER,
-              {"--platform", "--platform_settings", path, "--metrics_port",
-               std::to_string(metrics_ports_[i].port)},
+              {"--platform", "--platform_settings",
+               fmt::format("{}/router-{}.toml", directory_, i),
+               "--metrics_port", std::to_string(metrics_ports_[i].port)},
               fmt::format("{}/router-{}.log", directory_, i));
 }
 
+void PlatformFleet::WriteSettings(int i, const std::string& text) const {
+  std::ofstream(fmt::format("{}/router-{}.toml", directory_, i)) << text;
+}
+
 bool PlatformFleet::WaitReady(int i) const {
   return Eventually([&] { return ReadyStatus(i) == 200; });
 }
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -53,8 +53,7 @@
   /// Sends a request with a shared prompt, which is answered by a stream.
   /// @pre none.
   Result<net::Response> Ask(int router, const std::string& path,
-                            const std::string& id,
-                            Headers headers = {}) const;
+                            const std::string& id, Headers headers = {}) const;
   /// Status of a router's readiness; 0 where it does not answer. @pre none.
   int ReadyStatus(int router) const;
   /// A counter of a router. @pre none.
@@ -63,6 +62,8 @@
   void StartRouter(int i);
   /// Starts a model runner again under its id. @pre it was ended.
   void StartRunner(int i);
+  /// Replaces a router's settings file. @pre none.
+  void WriteSettings(int i, const std::string& text) const;
   bool WaitReady(int i) const;
 
   Process& router(int i) { return routers_[i]; }
