Copy cached parts from runners known to hold them; suspect targets only without a sign of life

Cause: the home of a part was asked for copies although it had never read the part, and 55 probes of routes that time out made healthy services suspect.

--- a/include/beryllane/freshness/freshness.h
+++ b/include/beryllane/freshness/freshness.h
@@ -28,8 +28,8 @@
   /// Age of the newest proof; `nullopt` before the first. @pre none.
   std::optional<std::chrono::nanoseconds> Age(BootClock::time_point now) const {
     if (!proven_) return std::nullopt;
-    return std::max(std::chrono::nanoseconds(0),
-                    std::chrono::nanoseconds(now - *proven_));
+    const std::chrono::nanoseconds age = now - *proven_;
+    return std::max(std::chrono::nanoseconds::zero(), age);
   }
 
   /// Whether the newest proof is younger than `bound`. @pre none.
--- a/src/coordination/prefix_policy.cc
+++ b/src/coordination/prefix_policy.cc
@@ -52,13 +52,14 @@
     } else if (candidate.distance == Distance::kSameRegion) {
       price += weights.same_region_ms;
     }
-    // The nearest of those that hold most is the source of a copy.
+    // The nearest of those that are known to hold most is the source of a
+    // copy; the home is asked only where nobody is known to hold more.
     std::optional<std::size_t> source;
     double source_held = candidate.held_tokens;
     double source_factor = 0;
     for (std::size_t other = 0; other < ranked.size(); ++other) {
       if (other == rank) continue;
-      const double held = assumed_held(other);
+      const double held = candidates[ranked[other]].held_tokens;
       const double factor = LinkFactor(candidate, candidates[ranked[other]]);
       const bool is_better =
           held > source_held ||
@@ -68,14 +69,22 @@
       source_held = held;
       source_factor = factor;
     }
+    if (!source && rank > 0 && query.shared_tokens > source_held) {
+      source = ranked[0];
+      source_held = query.shared_tokens;
+      source_factor = LinkFactor(candidate, candidates[ranked[0]]);
+    }
     const double assumed = assumed_held(rank);
     const double missing = query.shared_tokens - assumed;
     if (missing > 0) {
       const double read_price = missing / weights.tokens_per_ms +
                                 missing / 1000 * weights.reread_ms_per_thousand;
       const double copy_price =
-          source ? CopyMillis(query, source_held - assumed, source_factor)
-                 : read_price;
+          source && source_held > assumed
+              ? CopyMillis(query, source_held - assumed, source_factor) +
+                    std::max(0.0, query.shared_tokens - source_held) /
+                        weights.tokens_per_ms
+              : read_price;
       price += std::min(read_price, copy_price);
     }
     if (has_best && price >= best.price.count()) continue;
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -21,7 +21,7 @@
 constexpr milliseconds kPeerUnreadLife{500};
 // Share of a runner's memory that cached parts can count on beside running
 // requests.
-constexpr double kCacheShare = 0.6;
+constexpr double kCacheShare = 0.85;
 
 }  // namespace
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -41,6 +41,8 @@
   std::map<std::string, PeerLoad> peer_loads;
   /// Orders that it accepted, where a report told.
   std::optional<std::uint64_t> order_count;
+  /// When it last sent anything to this router.
+  RuntimeClock::time_point heard_at;
   /// Not chosen before this time, because it failed to answer.
   RuntimeClock::time_point suspect_until;
   int failures_in_row = 0;
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -142,6 +142,7 @@
   if (version > 0) choice.weights_version = version;
   choice.cache_salt = view.salt;
   const std::uint32_t held = candidates[decision.index].held_tokens;
+  choice.held_tokens = held;
   choice.unread_tokens = input.request.prompt_tokens > held
                              ? input.request.prompt_tokens - held
                              : 0;
--- a/src/fleet/placement.h
+++ b/src/fleet/placement.h
@@ -30,6 +30,8 @@
   std::string cache_salt;
   /// Tokens that the runner has to read, as predicted.
   std::uint32_t unread_tokens = 0;
+  /// Shared tokens that the runner is known to hold.
+  std::uint32_t held_tokens = 0;
   double price_ms = 0;
   std::size_t candidates = 0;
 };
--- a/src/fleet/runner_dialect.cc
+++ b/src/fleet/runner_dialect.cc
@@ -21,6 +21,8 @@
 // Targets state how long a connection may idle in whole seconds, and nothing
 // where it is less than one.
 constexpr milliseconds kUnstatedIdleLimit{500};
+// A target that answered any request this recently can be reached.
+constexpr milliseconds kSignOfLife{1000};
 // A target that takes new weights refuses for about this long.
 constexpr milliseconds kSwitchPause{400};
 // A full target frees a slot in about this time.
@@ -112,6 +114,9 @@
                   {"price_ms", choice_.price_ms},
                   {"candidates", choice_.candidates},
                   {"unread_tokens", choice_.unread_tokens},
+       {"held_tokens", choice_.held_tokens},
+       {"fetch_from",
+        choice_.fetch_from ? net::ToString(*choice_.fetch_from) : ""},
                   {"load", choice_.runner->EstimatedLoad(RuntimeClock::now())},
                   {"weights", choice_.weights_version.value_or(0)},
                   {"config", routed_.config->version},
@@ -156,6 +161,7 @@
     return {Judgement::Kind::kForeign, {}};
   }
   Runner& runner = *choice_.runner;
+  runner.heard_at = now;
   if (facts.running) runner.ReportLoad(*facts.running, *facts.waiting, now);
   if (facts.is_not_run) {
     constexpr int kOtherTarget = 421;
@@ -220,6 +226,7 @@
 }
 
 Result<std::string> RunnerDialect::Feed(std::string bytes) {
+  choice_.runner->heard_at = RuntimeClock::now();
   if (!relay_) return bytes;
   return relay_->Feed(bytes);
 }
@@ -254,7 +261,11 @@
   if (error == nullptr) return;
   const bool is_unreachable = error->id == ErrorId::kTargetUnreachable ||
                               error->id == ErrorId::kTargetSilent;
-  if (is_unreachable) choice_.runner->Suspect(RuntimeClock::now());
+  const auto now = RuntimeClock::now();
+  // A target that answers others is slow with this request, not away.
+  const bool is_alive = error->id == ErrorId::kTargetSilent &&
+                        now - choice_.runner->heard_at < kSignOfLife;
+  if (is_unreachable && !is_alive) choice_.runner->Suspect(now);
   // A connection that never opened is no arrival.
   const bool has_arrived = error->id != ErrorId::kTargetUnreachable;
   if (has_arrived) ++arrivals_;
--- a/src/fleet/store_follower.cc
+++ b/src/fleet/store_follower.cc
@@ -53,6 +53,9 @@
     for (const auto& record : page.value().records) ApplyOperator(record);
     operator_next_ = page.value().next;
     freshness_.OnAnswer(sent, false, {});
+    // The first list of targets is read over the connection that is open, as
+    // new ones may be slow while many hosts start at once.
+    if (!targets_next_) co_await ReadTargets();
     co_return true;
   }
   auto page = co_await store_.Read(std::string(platform::kOperatorTopic),
