--- a/include/beryllane/placement/prefix_policy.h
+++ b/include/beryllane/placement/prefix_policy.h
@@ -50,6 +50,9 @@
   double tokens_per_ms = 40;
   /// Price of reading a thousand shared tokens that another runner holds.
   double reread_ms_per_thousand = 200;
+  /// Price of copying a thousand shared tokens: the copy takes memory in which
+  /// another part would be found again.
+  double copy_ms_per_thousand = 70;
   /// Price of a request that crosses a region: its bytes are billed.
   double other_region_ms = 45;
   double same_region_ms = 2;
--- a/src/coordination/prefix_policy.cc
+++ b/src/coordination/prefix_policy.cc
@@ -82,6 +82,8 @@
       const double copy_price =
           source && source_held > assumed
               ? CopyMillis(query, source_held - assumed, source_factor) +
+                    (source_held - assumed) / 1000 *
+                        weights.copy_ms_per_thousand +
                     std::max(0.0, query.shared_tokens - source_held) /
                         weights.tokens_per_ms
               : read_price;
