--- a/apps/beryllaned.cc
+++ b/apps/beryllaned.cc
@@ -195,13 +195,14 @@
   auto read = platform::ReadSettings(path);
   if (!read.ok()) return PrintFault(read.error());
   if (!telemetry::InitLog(absl::GetFlag(FLAGS_log_level), "beryllaned",
-                          read.value().host_id)) {
+                          read.value().host_id, /*is_batched=*/true)) {
     return settings::kBadSettingsExit;
   }
   fleet::FleetNode node(
       std::move(read.value()), path,
       static_cast<std::uint16_t>(absl::GetFlag(FLAGS_metrics_port)));
   auto ran = node.Run();
+  telemetry::FlushLog();
   return ran.ok() ? 0 : PrintFault(ran.error());
 }
 
--- a/src/fleet/fleet_front.cc
+++ b/src/fleet/fleet_front.cc
@@ -204,8 +204,9 @@
     fields["message"] = ending.error.message;
     fields["verdict"] = ToString(ending.error.verdict);
   }
-  telemetry::Log(Level::kInfo, telemetry::event::kRequestDone,
-                 std::move(fields));
+  const bool is_failure = ending.kind == Ending::Kind::kFailed;
+  telemetry::Log(is_failure ? Level::kWarning : Level::kInfo,
+                 telemetry::event::kRequestDone, std::move(fields));
 }
 
 awaitable<void> FleetFront::SendError(net::Exchange& exchange,
@@ -220,7 +221,7 @@
   (error.verdict == Verdict::kNotRun ? metrics_.refused : metrics_.failed)
       .Add();
   if (request_id.empty()) {
-    telemetry::Log(Level::kInfo, telemetry::event::kRequestFailed,
+    telemetry::Log(Level::kWarning, telemetry::event::kRequestFailed,
                    {{"error", Name(error.id)},
                     {"message", error.message},
                     {"status", status}});
--- a/src/fleet/fleet_node.cc
+++ b/src/fleet/fleet_node.cc
@@ -66,6 +66,39 @@
           pool_, {}, [this](net::Exchange& e) { return AnswerMetrics(e); },
           caller::ErrorAnswer) {
   ShareBudget();
+  RegisterGauges();
+}
+
+void FleetNode::RegisterGauges() {
+  metrics_.AddComputed("beryllane_ready", "Whether requests can be served",
+                       [this] {
+                         std::string reason;
+                         return front_.IsReady(reason) ? 1 : 0;
+                       });
+  metrics_.AddComputed("beryllane_exchanges_running",
+                       "Requests being answered now", [this] {
+                         return static_cast<double>(callers_.running());
+                       });
+  metrics_.AddComputed(
+      "beryllane_config_age_seconds",
+      "Age of the proof that the configuration is the newest", [this] {
+        const auto age = follower_.freshness().Age(BootClock::now());
+        return age ? std::chrono::duration<double>(*age).count() : -1;
+      });
+  metrics_.AddComputed("beryllane_config_version",
+                       "Version of the configuration in force", [this] {
+                         const auto config = fleet_.config();
+                         return config ? static_cast<double>(config->version)
+                                       : 0;
+                       });
+  metrics_.AddComputed("beryllane_targets", "Targets on the list", [this] {
+    return static_cast<double>(fleet_.targets().size());
+  });
+  metrics_.AddComputed("beryllane_log_dropped_total",
+                       "Log lines dropped because their reader was slow", [] {
+                         return static_cast<double>(
+                             telemetry::DroppedLogLines());
+                       });
 }
 
 void FleetNode::ShareBudget() {
@@ -132,6 +165,7 @@
           {{"reason", reason}, {"running", callers_.running()}});
     }
     was_ready = is_ready;
+    telemetry::FlushLog();
     co_await net::Sleep(kPace);
   }
 }
--- a/src/fleet/fleet_node.h
+++ b/src/fleet/fleet_node.h
@@ -39,6 +39,7 @@
   net::asio::awaitable<void> Drain();
   void ApplyLimits();
   void ShareBudget();
+  void RegisterGauges();
 
   platform::Settings settings_;
   std::string settings_path_;
--- a/src/fleet/runner_dialect.cc
+++ b/src/fleet/runner_dialect.cc
@@ -270,7 +270,7 @@
   const bool has_arrived = error->id != ErrorId::kTargetUnreachable;
   if (has_arrived) ++arrivals_;
   if (error->verdict != Verdict::kNotRun) ++runs_;
-  telemetry::Log(telemetry::Level::kInfo, telemetry::event::kAttemptFailed,
+  telemetry::Log(telemetry::Level::kWarning, telemetry::event::kAttemptFailed,
                  {{"request", routed_.request.id},
                   {"target", target.id},
                   {"error", Name(error->id)},
--- a/src/telemetry/log.cc
+++ b/src/telemetry/log.cc
@@ -1,11 +1,12 @@
 #include "src/telemetry/log.h"
 
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 #include <memory>
 
 #include "beryllane/clock/runtime_clock.h"
+#include "src/telemetry/bounded_sink.h"
 
 namespace beryllane::telemetry {
 namespace {
@@ -20,6 +21,12 @@
   return identity;
 }
 
+// Null until `InitLog`.
+std::shared_ptr<BoundedSink>& GetSink() {
+  static std::shared_ptr<BoundedSink> sink;
+  return sink;
+}
+
 spdlog::level::level_enum ToSpdlog(Level level) {
   switch (level) {
     case Level::kDebug:
@@ -51,10 +58,11 @@
 }  // namespace
 
 bool InitLog(const std::string& level, const std::string& process,
-             const std::string& host_id) {
+             const std::string& host_id, bool is_batched) {
   GetIdentity() = {process, host_id};
-  auto logger = spdlog::stderr_logger_mt("beryllane");
-  logger->set_pattern("%v");
+  GetSink() = std::make_shared<BoundedSink>(STDOUT_FILENO);
+  auto logger = std::make_shared<spdlog::logger>("beryllane", GetSink());
+  logger->flush_on(is_batched ? spdlog::level::err : spdlog::level::trace);
   spdlog::set_default_logger(logger);
   if (level == "debug") {
     logger->set_level(spdlog::level::debug);
@@ -70,6 +78,14 @@
   return true;
 }
 
+void FlushLog() {
+  if (GetSink()) GetSink()->flush();
+}
+
+std::uint64_t DroppedLogLines() {
+  return GetSink() ? GetSink()->dropped() : 0;
+}
+
 void Log(Level level, std::string_view event, nlohmann::json fields) {
   const auto spdlog_level = ToSpdlog(level);
   if (!spdlog::should_log(spdlog_level)) return;
--- a/src/telemetry/log.h
+++ b/src/telemetry/log.h
@@ -46,15 +46,24 @@
 }  // namespace event
 
 /// Sets the level (`debug`, `info`, `warning` or `error`) and the fields that
-/// each line carries. @pre called once, before threads log. Returns false for
+/// each line carries; `is_batched` keeps lines for `FlushLog`, otherwise each
+/// is written at once. @pre called once, before threads log. Returns false for
 /// an unknown level.
 bool InitLog(const std::string& level, const std::string& process,
-             const std::string& host_id);
+             const std::string& host_id, bool is_batched = false);
 
-/// Writes one line to standard error. @pre `fields` is an object.
-/// Thread-safe.
+/// Adds one line to standard output; batched lines wait for `FlushLog`,
+/// errors are written at once. Never blocks. @pre `fields` is an object. Thread-safe.
 void Log(Level level, std::string_view event, nlohmann::json fields);
 
+/// Writes the lines that wait, as far as their reader takes them. To be called
+/// a few times a second. @pre none. Thread-safe.
+void FlushLog();
+
+/// Lines that were dropped because their reader was slow. @pre none.
+/// Thread-safe.
+std::uint64_t DroppedLogLines();
+
 }  // namespace beryllane::telemetry
 
 #endif  // BERYLLANE_SRC_TELEMETRY_LOG_H_
