Let one router of a zone read the store for the others

Each answer carries the age of the reader's proof; a follower counts it from the sending of its question, and reads the store itself when the reader fails or has lost the store.

--- a/scripts/lib/platform_fleet.sh
+++ b/scripts/lib/platform_fleet.sh
@@ -9,7 +9,7 @@
 target_control() { echo $((FLEET_PORT + 630 + $1)); }
 entry_port() { echo $((FLEET_PORT + 650 + $1)); }
 entry_ready() { echo $((FLEET_PORT + 660 + $1)); }
-entry_peer() { echo $((FLEET_PORT + 670 + $1)); }
+entry_peer() { echo $((FLEET_PORT + 670 + 2 * $1)); }
 entry_metrics() { echo $((FLEET_PORT + 680 + $1)); }
 
 put_record() { # TOPIC KEY VALUE
@@ -55,7 +55,7 @@
 ip = "127.0.0.1"
 zone = "${ZONES[$((i % 3))]}"
 region = "${REGIONS[$((i % 3))]}"
-internalPortRange = [$(entry_peer "$i"), $(entry_peer "$i")]
+internalPortRange = [$(entry_peer "$i"), $(($(entry_peer "$i") + 1))]
 [zones]
 iasi-a = "iasi"
 cluj-a = "cluj"
--- a/src/fleet/fleet_node.cc
+++ b/src/fleet/fleet_node.cc
@@ -34,6 +34,14 @@
   return {kLeaseHold, bounds.lease, kLeaseMargin};
 }
 
+Peers::Identity IdentityOf(const platform::Settings& settings) {
+  const std::uint16_t bus_port = settings.first_internal_port;
+  const auto relay_port = static_cast<std::uint16_t>(bus_port + 1);
+  return {settings.host_id, settings.availability_zone,
+          net::ToString({settings.ip, bus_port}),
+          net::ToString({settings.ip, relay_port})};
+}
+
 net::Response PlainAnswer(int status, std::string text) {
   return net::MakeResponse(status, std::move(text), "text/plain");
 }
@@ -48,11 +56,15 @@
       client_(pool_.at(0)),
       store_http_(pool_.at(0)),
       store_(store_http_, settings_.store, metrics_),
+      relay_client_(pool_.at(0), metrics_),
       follower_(
-          store_, fleet_, [this] { ApplyLimits(); }, [] {}),
-      peers_(pool_.at(0), store_, fleet_, settings_.host_id,
-             net::ToString({settings_.ip, settings_.first_internal_port}),
-             metrics_),
+          store_, relay_client_, fleet_, [this] { ApplyLimits(); }, [] {}),
+      relay_server_(
+          pool_.at(0), metrics_,
+          [this](const std::string& message, const wire::ReplyFunction& reply) {
+            reply(follower_.relay().Serve(message));
+          }),
+      peers_(pool_.at(0), store_, fleet_, IdentityOf(settings_), metrics_),
       rollout_(store_, client_, fleet_, peers_, settings_.host_id,
                LeaseTerms(settings_.bounds), metrics_),
       front_(settings_, client_, fleet_, peers_, follower_, metrics_),
@@ -65,6 +77,7 @@
       metrics_server_(
           pool_, {}, [this](net::Exchange& e) { return AnswerMetrics(e); },
           caller::ErrorAnswer) {
+  follower_.set_peers(&peers_);
   ShareBudget();
   RegisterGauges();
 }
@@ -75,10 +88,9 @@
                          std::string reason;
                          return front_.IsReady(reason) ? 1 : 0;
                        });
-  metrics_.AddComputed("beryllane_exchanges_running",
-                       "Requests being answered now", [this] {
-                         return static_cast<double>(callers_.running());
-                       });
+  metrics_.AddComputed(
+      "beryllane_exchanges_running", "Requests being answered now",
+      [this] { return static_cast<double>(callers_.running()); });
   metrics_.AddComputed(
       "beryllane_config_age_seconds",
       "Age of the proof that the configuration is the newest", [this] {
@@ -94,11 +106,10 @@
   metrics_.AddComputed("beryllane_targets", "Targets on the list", [this] {
     return static_cast<double>(fleet_.targets().size());
   });
-  metrics_.AddComputed("beryllane_log_dropped_total",
-                       "Log lines dropped because their reader was slow", [] {
-                         return static_cast<double>(
-                             telemetry::DroppedLogLines());
-                       });
+  metrics_.AddComputed(
+      "beryllane_log_dropped_total",
+      "Log lines dropped because their reader was slow",
+      [] { return static_cast<double>(telemetry::DroppedLogLines()); });
 }
 
 void FleetNode::ShareBudget() {
@@ -118,6 +129,8 @@
     listening = metrics_server_.Listen({settings_.ip, metrics_port_});
     if (!listening.ok()) return listening.error();
   }
+  auto relaying = relay_server_.Listen(IdentityOf(settings_).relay_address);
+  if (!relaying.ok()) return relaying;
   telemetry::Log(Level::kInfo, telemetry::event::kStarted,
                  {{"listen", net::ToString(settings_.caller_listen)},
                   {"store", net::ToString(settings_.store)},
--- a/src/fleet/fleet_node.h
+++ b/src/fleet/fleet_node.h
@@ -51,7 +51,9 @@
   net::HttpClient store_http_;
   platform::StoreClient store_;
   Fleet fleet_;
+  wire::PeerClient relay_client_;
   StoreFollower follower_;
+  wire::PeerServer relay_server_;
   Peers peers_;
   WeightsRollout rollout_;
   FleetFront front_;
--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -16,6 +16,11 @@
 // Loads change within a request's time; faster batches gain little.
 constexpr milliseconds kBatchPace{200};
 constexpr milliseconds kRegisterPause{500};
+// Neighbours take a router for gone after this silence, and send before it.
+constexpr milliseconds kNeighbourLife{1500};
+constexpr milliseconds kLongestSilence{500};
+// A reader that failed is asked again after this time.
+constexpr milliseconds kDistrust{2000};
 // A target takes new weights for about this long.
 constexpr milliseconds kSwitchTime{900};
 
@@ -28,17 +33,15 @@
 }  // namespace
 
 Peers::Peers(net::asio::io_context& loop, platform::StoreClient& store,
-             Fleet& fleet, std::string host_id, std::string address,
-             MetricRegistry& metrics)
+             Fleet& fleet, Identity self, MetricRegistry& metrics)
     : store_(store),
       fleet_(fleet),
-      host_id_(std::move(host_id)),
-      address_(std::move(address)),
+      self_(std::move(self)),
       bus_(loop, metrics,
            [this](const std::string& message) { Receive(message); }) {}
 
 awaitable<void> Peers::Run() {
-  auto listening = bus_.Listen(address_);
+  auto listening = bus_.Listen(self_.bus_address);
   if (!listening.ok()) {
     telemetry::Log(Level::kError, telemetry::event::kPeersUnavailable,
                    {{"message", listening.error().message}});
@@ -55,18 +58,20 @@
 // each pair has one connection and nobody reads the list again.
 awaitable<bool> Peers::Register() {
   std::string topic(platform::kPeerTopic);
-  std::string value = json{{"address", address_}}.dump();
-  auto appended = co_await store_.Append(topic, host_id_, value, std::nullopt);
+  std::string value = json{{"address", self_.bus_address}}.dump();
+  auto appended =
+      co_await store_.Append(topic, self_.host_id, value, std::nullopt);
   if (!appended.ok()) co_return false;
   auto listed = co_await store_.Newest(topic);
   if (!listed.ok()) co_return false;
+  order_ = appended.value().offset;
   for (const auto& record : listed.value().records) {
     const json body = json::parse(record.value, nullptr, false);
     const bool is_earlier = record.offset < appended.value().offset &&
-                            record.key != host_id_ && body.is_object();
+                            record.key != self_.host_id && body.is_object();
     if (!is_earlier) continue;
     const std::string address = body.value("address", "");
-    if (address == address_) continue;
+    if (address == self_.bus_address) continue;
     auto dialed = bus_.Dial(address);
     if (!dialed.ok()) {
       telemetry::Log(Level::kWarning, telemetry::event::kRecordIgnored,
@@ -78,6 +83,29 @@
   co_return true;
 }
 
+std::optional<std::string> Peers::Reader() const {
+  const auto now = RuntimeClock::now();
+  const Neighbour* reader = nullptr;
+  for (const auto& [host, neighbour] : neighbours_) {
+    const bool is_usable = now - neighbour.heard_at < kNeighbourLife &&
+                           neighbour.distrusted_until <= now;
+    const bool is_earlier =
+        reader == nullptr || neighbour.order < reader->order;
+    if (is_usable && is_earlier) reader = &neighbour;
+  }
+  const bool is_self = reader == nullptr || !order_ || *order_ < reader->order;
+  if (is_self) return std::nullopt;
+  return reader->relay_address;
+}
+
+void Peers::Distrust(const std::string& reader) {
+  for (auto& [host, neighbour] : neighbours_) {
+    if (neighbour.relay_address == reader) {
+      neighbour.distrusted_until = RuntimeClock::now() + kDistrust;
+    }
+  }
+}
+
 void Peers::AnnounceOrder(const Runner& runner, const std::string& model,
                           std::uint64_t version) {
   const json message{{kOrders, {{runner.id_hash, model, version, false}}}};
@@ -110,13 +138,20 @@
     sent = load;
     loads.push_back({runner->id_hash, load.first, load.second});
   }
-  if (loads.empty() && new_parts_.empty()) return;
+  const auto now = RuntimeClock::now();
+  const bool is_due = now - sent_at_ >= kLongestSilence;
+  if (loads.empty() && new_parts_.empty() && !is_due) return;
+  sent_at_ = now;
   json parts = json::array();
   for (const PartHint& hint : new_parts_) {
     parts.push_back({hint.runner, hint.part, hint.tokens});
   }
   new_parts_.clear();
-  const json message{{kSender, host_id_}, {kLoads, loads}, {kParts, parts}};
+  const json message{{kSender,
+                      {self_.host_id, self_.availability_zone,
+                       self_.relay_address, order_.value_or(0)}},
+                     {kLoads, loads},
+                     {kParts, parts}};
   const auto bytes = json::to_msgpack(message);
   bus_.Send(std::string(bytes.begin(), bytes.end()));
 }
@@ -145,7 +180,15 @@
         runner->switching_until = now + kSwitchTime;
       }
     }
-    const std::string sender = body.value(kSender, "");
+    if (!body.contains(kSender)) return;
+    const json& from = body.at(kSender);
+    const std::string sender = from.at(0);
+    if (from.at(1) == self_.availability_zone) {
+      Neighbour& neighbour = neighbours_[sender];
+      neighbour.relay_address = from.at(2);
+      neighbour.order = from.at(3);
+      neighbour.heard_at = now;
+    }
     for (const json& load : body.value(kLoads, json::array())) {
       Runner* runner = find(load.at(0));
       if (runner == nullptr) continue;
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -16,9 +16,24 @@
 /// lost, late or wrong one costs time, never a promise. Used on one loop.
 class Peers {
  public:
-  /// @pre all references outlive this object. `address` is the own `ip:port`.
+  /// How a router is known to the others.
+  struct Identity {
+    std::string host_id;
+    std::string availability_zone;
+    /// `ip:port` of the bus and of the record relay.
+    std::string bus_address;
+    std::string relay_address;
+  };
+
+  /// @pre all references outlive this object.
   Peers(net::asio::io_context& loop, platform::StoreClient& store, Fleet& fleet,
-        std::string host_id, std::string address, MetricRegistry& metrics);
+        Identity self, MetricRegistry& metrics);
+
+  /// Relay address of the router that reads the store for this zone;
+  /// `nullopt` where this one does. @pre none.
+  std::optional<std::string> Reader() const;
+  /// Notes that a reader did not answer, or has old records. @pre none.
+  void Distrust(const std::string& reader);
 
   /// Opens the bus, finds the other routers in the store and sends hints until
   /// the loop stops. @pre called once.
@@ -34,6 +49,13 @@
   void NotePart(const Runner& runner, std::uint64_t part, std::uint32_t tokens);
 
  private:
+  // Another router of this zone.
+  struct Neighbour {
+    std::string relay_address;
+    std::uint64_t order = 0;
+    RuntimeClock::time_point heard_at;
+    RuntimeClock::time_point distrusted_until;
+  };
   struct PartHint {
     std::uint64_t runner;
     std::uint64_t part;
@@ -46,8 +68,11 @@
 
   platform::StoreClient& store_;
   Fleet& fleet_;
-  std::string host_id_;
-  std::string address_;
+  Identity self_;
+  // Offset of the own registration; the earliest router of a zone reads.
+  std::optional<std::uint64_t> order_;
+  std::map<std::string, Neighbour> neighbours_;
+  RuntimeClock::time_point sent_at_;
   wire::PeerBus bus_;
   std::vector<PartHint> new_parts_;
   std::map<std::uint64_t, std::pair<int, std::uint64_t>> sent_loads_;
--- /dev/null
+++ b/src/fleet/record_relay.cc
@@ -0,0 +1,115 @@
+#include "src/fleet/record_relay.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace beryllane::fleet {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+std::string Pack(const json& message) {
+  const auto bytes = json::to_msgpack(message);
+  return {bytes.begin(), bytes.end()};
+}
+
+json ToJson(const platform::RecordPage& page) {
+  json records = json::array();
+  for (const auto& record : page.records) {
+    const auto* data =
+        reinterpret_cast<const std::uint8_t*>(record.value.data());
+    records.push_back({record.key,
+                       json::binary({data, data + record.value.size()}),
+                       record.offset});
+  }
+  return {page.next, records};
+}
+
+platform::RecordPage ToPage(const json& object) {
+  platform::RecordPage page;
+  page.next = object.at(0).get<std::uint64_t>();
+  for (const json& record : object.at(1)) {
+    const auto& value = record.at(1).get_binary();
+    page.records.push_back({record.at(0).get<std::string>(),
+                            std::string(value.begin(), value.end()),
+                            record.at(2).get<std::uint64_t>()});
+  }
+  return page;
+}
+
+}  // namespace
+
+void RecordTail::Add(std::uint64_t from, const platform::RecordPage& page) {
+  if (from != end_) {
+    records_.clear();
+    first_ = from;
+  }
+  for (const auto& record : page.records) records_.push_back(record);
+  end_ = page.next;
+  while (records_.size() > kMaxRecords) {
+    first_ = records_.front().offset + 1;
+    records_.pop_front();
+  }
+}
+
+std::optional<platform::RecordPage> RecordTail::After(
+    std::uint64_t from) const {
+  if (from < first_ || from > end_) return std::nullopt;
+  platform::RecordPage page;
+  page.next = end_;
+  for (const auto& record : records_) {
+    if (record.offset >= from) page.records.push_back(record);
+  }
+  return page;
+}
+
+std::string Encode(const RelayRequest& request) {
+  return Pack({request.operator_next, request.targets_next});
+}
+
+std::string Encode(const RelayAnswer& answer) {
+  return Pack({answer.proof_age.count(), ToJson(answer.operator_page),
+               ToJson(answer.targets_page)});
+}
+
+std::optional<RelayRequest> DecodeRelayRequest(const std::string& message) {
+  try {
+    const json body = json::from_msgpack(message);
+    return RelayRequest{body.at(0).get<std::uint64_t>(),
+                        body.at(1).get<std::uint64_t>()};
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::optional<RelayAnswer> DecodeRelayAnswer(const std::string& message) {
+  try {
+    const json body = json::from_msgpack(message);
+    RelayAnswer answer;
+    answer.proof_age = milliseconds(body.at(0).get<std::int64_t>());
+    answer.operator_page = ToPage(body.at(1));
+    answer.targets_page = ToPage(body.at(2));
+    return answer;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::string RecordRelay::Serve(const std::string& message) const {
+  const auto request = DecodeRelayRequest(message);
+  if (!request) return "";
+  auto operator_page = operator_tail_.After(request->operator_next);
+  auto targets_page = targets_tail_.After(request->targets_next);
+  if (!operator_page || !targets_page) return "";
+  RelayAnswer answer;
+  const auto age = freshness_.Age(BootClock::now());
+  if (age) {
+    answer.proof_age = std::chrono::ceil<milliseconds>(*age);
+  }
+  answer.operator_page = std::move(*operator_page);
+  answer.targets_page = std::move(*targets_page);
+  return Encode(answer);
+}
+
+}  // namespace beryllane::fleet
--- a/src/fleet/runner_dialect.cc
+++ b/src/fleet/runner_dialect.cc
@@ -107,20 +107,21 @@
 }
 
 void RunnerDialect::LogChoice() const {
-  telemetry::Log(telemetry::Level::kInfo, telemetry::event::kPlaced,
-                 {{"request", routed_.request.id},
-                  {"target", choice_.runner->entry.id},
-                  {"attempt", tried_.size()},
-                  {"price_ms", choice_.price_ms},
-                  {"candidates", choice_.candidates},
-                  {"unread_tokens", choice_.unread_tokens},
+  telemetry::Log(
+      telemetry::Level::kInfo, telemetry::event::kPlaced,
+      {{"request", routed_.request.id},
+       {"target", choice_.runner->entry.id},
+       {"attempt", tried_.size()},
+       {"price_ms", choice_.price_ms},
+       {"candidates", choice_.candidates},
+       {"unread_tokens", choice_.unread_tokens},
        {"held_tokens", choice_.held_tokens},
        {"fetch_from",
         choice_.fetch_from ? net::ToString(*choice_.fetch_from) : ""},
-                  {"load", choice_.runner->EstimatedLoad(RuntimeClock::now())},
-                  {"weights", choice_.weights_version.value_or(0)},
-                  {"config", routed_.config->version},
-                  {"time_left_ms", routed_.TimeLeft().count()}});
+       {"load", choice_.runner->EstimatedLoad(RuntimeClock::now())},
+       {"weights", choice_.weights_version.value_or(0)},
+       {"config", routed_.config->version},
+       {"time_left_ms", routed_.TimeLeft().count()}});
 }
 
 net::Request RunnerDialect::Encode(const Target& target) {
--- a/src/fleet/store_follower.cc
+++ b/src/fleet/store_follower.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "platform/config_codec.h"
+#include "src/fleet/peers.h"
 #include "src/telemetry/log.h"
 
 namespace beryllane::fleet {
@@ -19,6 +20,13 @@
 // Targets write about once a second each; a change is seen at this pace.
 constexpr milliseconds kTargetPace{400};
 constexpr milliseconds kRetryPause{150};
+// A reader answers from memory, within the zone.
+constexpr milliseconds kRelayPatience{300};
+// Without an answer for this long, the store is read again.
+constexpr milliseconds kRelayLife{1000};
+// A reader's proof ages up to the wait of its read; an older one shows that
+// the reader has lost the store.
+constexpr milliseconds kOldestProof{2200};
 // A store that fails for longer may have let entries of living targets lapse.
 constexpr milliseconds kOutage{800};
 // Living targets are back on the list within two seconds of its return.
@@ -26,16 +34,22 @@
 
 }  // namespace
 
-StoreFollower::StoreFollower(platform::StoreClient& store, Fleet& fleet,
+StoreFollower::StoreFollower(platform::StoreClient& store,
+                             wire::PeerClient& relay_client, Fleet& fleet,
                              std::function<void()> on_config,
                              std::function<void()> on_weights)
     : store_(store),
+      relay_client_(relay_client),
       fleet_(fleet),
       on_config_(std::move(on_config)),
       on_weights_(std::move(on_weights)) {}
 
 awaitable<void> StoreFollower::FollowOperator() {
   for (;;) {
+    if (operator_next_ && IsRelayed()) {
+      co_await net::Sleep(kRetryPause);
+      continue;
+    }
     const bool ok = co_await ReadOperator();
     if (!ok) co_await net::Sleep(kRetryPause);
   }
@@ -52,6 +66,7 @@
     SetUp(true, "");
     for (const auto& record : page.value().records) ApplyOperator(record);
     operator_next_ = page.value().next;
+    relay_.operator_tail().Add(*operator_next_, {{}, *operator_next_});
     freshness_.OnAnswer(sent, false, {});
     // The first list of targets is read over the connection that is open, as
     // new ones may be slow while many hosts start at once.
@@ -70,7 +85,10 @@
     co_return true;
   }
   const platform::RecordPage& read = *page.value();
+  // A relayed answer may have overtaken this read.
+  if (read.next < operator_next_) co_return true;
   for (const auto& record : read.records) ApplyOperator(record);
+  relay_.operator_tail().Add(*operator_next_, read);
   operator_next_ = read.next;
   // An answer that came early and empty proves no waiting.
   const bool has_waited = BootClock::now() - sent >= kOperatorWait;
@@ -107,7 +125,8 @@
 
 awaitable<void> StoreFollower::FollowTargets() {
   for (;;) {
-    const bool ok = co_await ReadTargets();
+    const bool is_relayed = co_await ReadFromPeer();
+    const bool ok = is_relayed || co_await ReadTargets();
     const auto now = RuntimeClock::now();
     if (!ok && !targets_failing_since_) targets_failing_since_ = now;
     if (ok && targets_failing_since_) {
@@ -127,6 +146,7 @@
     if (!page.ok()) co_return false;
     ApplyTargetSet(page.value());
     targets_next_ = page.value().next;
+    relay_.targets_tail().Add(*targets_next_, {{}, *targets_next_});
     has_targets_ = true;
     co_return true;
   }
@@ -143,10 +163,49 @@
     returns_until_ = RuntimeClock::now() + kReturnTime;
   }
   for (const auto& record : page.value()->records) ApplyTarget(record);
+  relay_.targets_tail().Add(*targets_next_, *page.value());
   targets_next_ = page.value()->next;
   co_return true;
 }
 
+bool StoreFollower::IsRelayed() const {
+  return relayed_at_ && RuntimeClock::now() - *relayed_at_ < kRelayLife;
+}
+
+awaitable<bool> StoreFollower::ReadFromPeer() {
+  if (peers_ == nullptr || !operator_next_ || !targets_next_) {
+    co_return false;
+  }
+  const auto reader = peers_->Reader();
+  if (!reader) co_return false;
+  const auto sent = BootClock::now();
+  const RelayRequest request{*operator_next_, *targets_next_};
+  auto reply =
+      co_await relay_client_.Call(*reader, Encode(request), kRelayPatience);
+  std::optional<RelayAnswer> answer;
+  if (reply.ok()) answer = DecodeRelayAnswer(reply.value());
+  const bool is_useful = answer && answer->proof_age >= milliseconds(0) &&
+                         answer->proof_age < kOldestProof;
+  if (!is_useful) {
+    peers_->Distrust(*reader);
+    co_return false;
+  }
+  if (answer->operator_page.next >= *operator_next_) {
+    for (const auto& record : answer->operator_page.records) {
+      ApplyOperator(record);
+    }
+    relay_.operator_tail().Add(request.operator_next, answer->operator_page);
+    operator_next_ = answer->operator_page.next;
+  }
+  for (const auto& record : answer->targets_page.records) ApplyTarget(record);
+  relay_.targets_tail().Add(request.targets_next, answer->targets_page);
+  targets_next_ = answer->targets_page.next;
+  // The reader knew its proof's age no earlier than the question was sent.
+  freshness_.OnAnswer(sent - answer->proof_age, false, {});
+  relayed_at_ = RuntimeClock::now();
+  co_return true;
+}
+
 void StoreFollower::ApplyTarget(const platform::KeyedRecord& record) {
   if (record.value.empty()) {
     RemoveTarget(record.key);
--- a/src/telemetry/log.cc
+++ b/src/telemetry/log.cc
@@ -82,9 +82,7 @@
   if (GetSink()) GetSink()->flush();
 }
 
-std::uint64_t DroppedLogLines() {
-  return GetSink() ? GetSink()->dropped() : 0;
-}
+std::uint64_t DroppedLogLines() { return GetSink() ? GetSink()->dropped() : 0; }
 
 void Log(Level level, std::string_view event, nlohmann::json fields) {
   const auto spdlog_level = ToSpdlog(level);
--- a/src/telemetry/log.h
+++ b/src/telemetry/log.h
@@ -53,7 +53,8 @@
              const std::string& host_id, bool is_batched = false);
 
 /// Adds one line to standard output; batched lines wait for `FlushLog`,
-/// errors are written at once. Never blocks. @pre `fields` is an object. Thread-safe.
+/// errors are written at once. Never blocks. @pre `fields` is an object.
+/// Thread-safe.
 void Log(Level level, std::string_view event, nlohmann::json fields);
 
 /// Writes the lines that wait, as far as their reader takes them. To be called
