Send followers away from a reader that lost the store

A reader refuses at its first failed read, a proof older than 1.1 s is not taken, and the follower reads at once.

--- a/src/fleet/record_relay.cc
+++ b/src/fleet/record_relay.cc
@@ -98,7 +98,7 @@
 
 std::string RecordRelay::Serve(const std::string& message) const {
   const auto request = DecodeRelayRequest(message);
-  if (!request) return "";
+  if (!request || !has_source_) return "";
   auto operator_page = operator_tail_.After(request->operator_next);
   auto targets_page = targets_tail_.After(request->targets_next);
   if (!operator_page || !targets_page) return "";
--- a/src/fleet/record_relay.h
+++ b/src/fleet/record_relay.h
@@ -68,13 +68,18 @@
 
   RecordTail& operator_tail() { return operator_tail_; }
   RecordTail& targets_tail() { return targets_tail_; }
-  /// Answers a follower; empty where the records are not kept. @pre none.
+  /// Tells whether this router can read the store; if not, followers are sent
+  /// away. @pre none.
+  void set_has_source(bool has_source) { has_source_ = has_source; }
+  /// Answers a follower; empty where the records are not kept or may be
+  /// outdated. @pre none.
   std::string Serve(const std::string& message) const;
 
  private:
   const Freshness& freshness_;
   RecordTail operator_tail_;
   RecordTail targets_tail_;
+  bool has_source_ = true;
 };
 
 }  // namespace beryllane::fleet
--- a/src/fleet/store_follower.cc
+++ b/src/fleet/store_follower.cc
@@ -16,7 +16,7 @@
 
 // Time that a read of the operator's records waits for a change. Its empty
 // answer is what proves freshness, so it is well under the revocation bound.
-constexpr milliseconds kOperatorWait{1500};
+constexpr milliseconds kOperatorWait{700};
 // Targets write about once a second each; a change is seen at this pace.
 constexpr milliseconds kTargetPace{400};
 constexpr milliseconds kRetryPause{150};
@@ -25,8 +25,10 @@
 // Without an answer for this long, the store is read again.
 constexpr milliseconds kRelayLife{1000};
 // A reader's proof ages up to the wait of its read; an older one shows that
-// the reader has lost the store.
-constexpr milliseconds kOldestProof{2200};
+// the reader has lost the store. Together with the time to read the store
+// instead, it stays well under the bound in which a configuration must be in
+// force.
+constexpr milliseconds kOldestProof{1100};
 // A store that fails for longer may have let entries of living targets lapse.
 constexpr milliseconds kOutage{800};
 // Living targets are back on the list within two seconds of its return.
@@ -188,6 +190,7 @@
                          answer->proof_age < kOldestProof;
   if (!is_useful) {
     peers_->Distrust(*reader);
+    relayed_at_.reset();
     co_return false;
   }
   if (answer->operator_page.next >= *operator_next_) {
@@ -277,6 +280,7 @@
 void StoreFollower::SetUp(bool is_up, const std::string& message) {
   if (is_up == is_up_) return;
   is_up_ = is_up;
+  relay_.set_has_source(is_up);
   const auto age = freshness_.Age(BootClock::now());
   telemetry::Log(
       is_up ? Level::kInfo : Level::kWarning,
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -276,6 +276,23 @@
   EXPECT_EQ(tail.After(2000)->records.size(), RecordTail::kMaxRecords);
 }
 
+// Hunted as CONFIG on mix --seed 633751392468: a reader that the store turned
+// away kept its followers on an older configuration.
+TEST(RecordRelayServing, AReaderThatLostTheStoreSendsFollowersAway) {
+  Freshness freshness;
+  RecordRelay relay(freshness);
+  relay.operator_tail().Add(0, Page(0, 2));
+  relay.targets_tail().Add(0, Page(0, 1));
+  const std::string request = Encode(RelayRequest{1, 1});
+  const auto answer = DecodeRelayAnswer(relay.Serve(request));
+  ASSERT_TRUE(answer);
+  EXPECT_LT(answer->proof_age, milliseconds(0));
+  EXPECT_EQ(answer->operator_page.records.size(), 1U);
+  relay.set_has_source(false);
+  EXPECT_EQ(relay.Serve(request), "");
+  EXPECT_EQ(relay.Serve(Encode(RelayRequest{9, 1})), "");
+}
+
 TEST(RecordRelayCodec, KeepsBytesAndRefusesOthers) {
   RelayAnswer answer;
   answer.proof_age = milliseconds(7);
