--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -141,6 +141,11 @@
   return it == goals_.end() ? WeightsGoal{} : it->second;
 }
 
+void Fleet::set_retry_share(RetryShare share) {
+  retry_share_ = share;
+  for (auto& [service, budget] : budgets_) budget.set_slack(share.slack);
+}
+
 RetryWindow& Fleet::BudgetOf(const std::string& service) {
   return budgets_.try_emplace(service, retry_share_).first->second;
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -123,7 +123,7 @@
   /// Retry budget of a service. @pre none.
   RetryWindow& BudgetOf(const std::string& service);
   /// Sets the share of the budget that each service gets. @pre none.
-  void set_retry_share(RetryShare share) { retry_share_ = share; }
+  void set_retry_share(RetryShare share);
 
  private:
   std::shared_ptr<const FleetConfig> config_;
--- a/src/fleet/fleet_node.cc
+++ b/src/fleet/fleet_node.cc
@@ -1,5 +1,6 @@
 #include "src/fleet/fleet_node.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -25,8 +26,9 @@
 constexpr milliseconds kBalancerNotices{2600};
 // Part of the grace time that is left for the end of the process.
 constexpr milliseconds kExitMargin{400};
-// Hosts that may share the retry budget; the fleet's size is not known.
-constexpr double kBudgetHosts = 8;
+// Least number of hosts that the retry budget is divided by, for the time
+// before the others are known.
+constexpr std::size_t kLeastHosts = 6;
 // Part of the budget that is left unused for what counts differently.
 constexpr double kBudgetShare = 0.8;
 
@@ -115,7 +117,9 @@
 void FleetNode::ShareBudget() {
   RetryShare share;
   share.ratio = settings_.bounds.retry_ratio * kBudgetShare;
-  share.slack = settings_.bounds.retry_slack * kBudgetShare / kBudgetHosts;
+  share.slack =
+      settings_.bounds.retry_slack * kBudgetShare /
+      static_cast<double>(std::max(kLeastHosts, peers_.known_hosts()));
   share.window = settings_.bounds.retry_window;
   fleet_.set_retry_share(share);
 }
@@ -178,6 +182,7 @@
           {{"reason", reason}, {"running", callers_.running()}});
     }
     was_ready = is_ready;
+    ShareBudget();
     telemetry::FlushLog();
     co_await net::Sleep(kPace);
   }
--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -37,6 +37,7 @@
     : store_(store),
       fleet_(fleet),
       self_(std::move(self)),
+      known_hosts_{self_.host_id},
       bus_(loop, metrics,
            [this](const std::string& message) { Receive(message); }) {}
 
@@ -66,6 +67,7 @@
   if (!listed.ok()) co_return false;
   order_ = appended.value().offset;
   for (const auto& record : listed.value().records) {
+    known_hosts_.insert(record.key);
     const json body = json::parse(record.value, nullptr, false);
     const bool is_earlier = record.offset < appended.value().offset &&
                             record.key != self_.host_id && body.is_object();
@@ -183,6 +185,7 @@
     if (!body.contains(kSender)) return;
     const json& from = body.at(kSender);
     const std::string sender = from.at(0);
+    known_hosts_.insert(sender);
     if (from.at(1) == self_.availability_zone) {
       Neighbour& neighbour = neighbours_[sender];
       neighbour.relay_address = from.at(2);
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -3,6 +3,7 @@
 #ifndef BERYLLANE_SRC_FLEET_PEERS_H_
 #define BERYLLANE_SRC_FLEET_PEERS_H_
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,8 @@
   /// Relay address of the router that reads the store for this zone;
   /// `nullopt` where this one does. @pre none.
   std::optional<std::string> Reader() const;
+  /// Routers that were ever seen, this one included. @pre none.
+  std::size_t known_hosts() const { return known_hosts_.size(); }
   /// Notes that a reader did not answer, or has old records. @pre none.
   void Distrust(const std::string& reader);
 
@@ -72,6 +75,7 @@
   // Offset of the own registration; the earliest router of a zone reads.
   std::optional<std::uint64_t> order_;
   std::map<std::string, Neighbour> neighbours_;
+  std::set<std::string> known_hosts_;
   RuntimeClock::time_point sent_at_;
   wire::PeerBus bus_;
   std::vector<PartHint> new_parts_;
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -184,6 +184,13 @@
   EXPECT_EQ(refused.error().verdict, Verdict::kNotRun);
 }
 
+TEST_F(FleetPlacement, ARunnerMustAnswerWithTheVersionThatItsSaltNames) {
+  fleet_.SetTarget(Entry("a", "s", 7));
+  const auto choice = Choose();
+  EXPECT_EQ(choice.value().weights_version, 7U);
+  EXPECT_EQ(choice.value().cache_salt, CacheSalt(7, nullptr));
+}
+
 TEST_F(FleetPlacement, SuspectsAreUsedOnlyWhereNoOtherIsLeft) {
   fleet_.SetTarget(Entry("a"));
   fleet_.SetTarget(Entry("b"));
@@ -321,6 +328,17 @@
   EXPECT_EQ(freshness.Age(start + seconds(3)), seconds(1));
 }
 
+// Each host takes its part of the fleet's slack, also when hosts are added.
+TEST(RetryWindowBudget, ASmallerShareHoldsAtOnce) {
+  Fleet fleet;
+  fleet.set_retry_share({0, 10, seconds(10)});
+  const RuntimeClock::time_point now{seconds(100)};
+  for (int i = 0; i < 4; ++i) EXPECT_TRUE(fleet.BudgetOf("s").TryTake(now));
+  fleet.set_retry_share({0, 4, seconds(10)});
+  EXPECT_FALSE(fleet.BudgetOf("s").TryTake(now));
+  EXPECT_TRUE(fleet.BudgetOf("t").TryTake(now));
+}
+
 // No span of the window's length holds more repeats than the share allows.
 RC_GTEST_PROP(RetryWindowBudget, HoldsInEachWindow, ()) {
   RetryWindow window({0.2, 5, seconds(10)});
