--- a/src/exchange/engine.cc
+++ b/src/exchange/engine.cc
@@ -81,7 +81,9 @@
   }
   const bool is_stream =
       With(dialect_, [&](auto& d) { return d.IsStream(answer); });
-  if (is_stream) co_return co_await RelayStream(answer, target);
+  if (is_stream) {
+    co_return co_await RelayStream(answer, target);
+  }
   co_return co_await RelayWhole(answer, target);
 }
 
@@ -155,7 +157,9 @@
   }
   co_await exchange_.FinishStream();
   // Reading the end lets the connection be used again.
-  if (is_complete()) co_await answer.Read();
+  if (is_complete()) {
+    co_await answer.Read();
+  }
   co_return AttemptEnd{Ending{Ending::Kind::kStreamed, {}, {}}, {}};
 }
 
--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -48,7 +48,9 @@
                    {{"message", listening.error().message}});
     co_return;
   }
-  while (!co_await Register()) co_await net::Sleep(kRegisterPause);
+  while (!co_await Register()) {
+    co_await net::Sleep(kRegisterPause);
+  }
   for (;;) {
     co_await net::Sleep(kBatchPace);
     SendBatch();
--- a/src/fleet/store_follower.cc
+++ b/src/fleet/store_follower.cc
@@ -53,7 +53,9 @@
       continue;
     }
     const bool ok = co_await ReadOperator();
-    if (!ok) co_await net::Sleep(kRetryPause);
+    if (!ok) {
+      co_await net::Sleep(kRetryPause);
+    }
   }
 }
 
@@ -72,7 +74,9 @@
     freshness_.OnAnswer(sent, false, {});
     // The first list of targets is read over the connection that is open, as
     // new ones may be slow while many hosts start at once.
-    if (!targets_next_) co_await ReadTargets();
+    if (!targets_next_) {
+      co_await ReadTargets();
+    }
     co_return true;
   }
   auto page = co_await store_.Read(std::string(platform::kOperatorTopic),
--- a/src/fleet/weights_rollout.cc
+++ b/src/fleet/weights_rollout.cc
@@ -70,7 +70,9 @@
     had_work = true;
     if (!lease_.IsHeld(BootClock::now())) {
       // Another router would have to wait for the end of a lease taken now.
-      if (!is_stopping_) co_await TakeLease();
+      if (!is_stopping_) {
+        co_await TakeLease();
+      }
     } else if (BootClock::now() - renewed_at_ > kRenewAfter) {
       co_await Renew();
     }
@@ -188,12 +190,16 @@
   order.version = version;
   order.mode = platform::SwitchMode::kContinue;
   order.holder = host_id_;
-  if (!runner->order_count) co_await Refresh(*runner, model);
+  if (!runner->order_count) {
+    co_await Refresh(*runner, model);
+  }
   const bool is_needed =
       runner->order_count && runner->VersionOf(model) < version;
   order.expected_order_count = runner->order_count;
   const bool may_be_accepted = is_needed && co_await SendOrder(*runner, order);
-  if (may_be_accepted) co_await AwaitWeights(runner, model, version);
+  if (may_be_accepted) {
+    co_await AwaitWeights(runner, model, version);
+  }
   runner->switching_until = {};
   under_way_.erase(id);
 }
@@ -237,7 +243,9 @@
   }
   order_failures_.Add();
   if (status == kOldToken) lease_.Abandon();
-  if (status == kConflict) co_await Refresh(runner, order.model);
+  if (status == kConflict) {
+    co_await Refresh(runner, order.model);
+  }
   if (!answer.ok() && answer.error().verdict == Verdict::kNotRun) {
     runner.Suspect(RuntimeClock::now());
     co_return false;
--- a/standins/metadata_store.cc
+++ b/standins/metadata_store.cc
@@ -34,7 +34,9 @@
 
 awaitable<void> MetadataStore::Handle(net::Exchange& exchange) {
   ++calls_;
-  if (faults_.silent) co_await StaySilent();
+  if (faults_.silent) {
+    co_await StaySilent();
+  }
   co_await net::Sleep(faults_.answer_time);
   if (faults_.down) {
     co_await exchange.Respond(JsonAnswer(503, json::object()));
@@ -64,7 +66,9 @@
   while (from >= topic.end() && RuntimeClock::now() < limit) {
     co_await net::Sleep(kPoll);
   }
-  if (faults_.silent) co_await StaySilent();
+  if (faults_.silent) {
+    co_await StaySilent();
+  }
   if (from < topic.first) {
     const json deleted{{"first", topic.first}};
     co_await exchange.Respond(JsonAnswer(410, deleted));
--- a/standins/runner_main.cc
+++ b/standins/runner_main.cc
@@ -63,7 +63,9 @@
 
   awaitable<void> Handle(net::Exchange& exchange) {
     using net::asio::experimental::awaitable_operators::operator||;
-    if (faults_.silent) co_await StaySilent();
+    if (faults_.silent) {
+      co_await StaySilent();
+    }
     const std::string path(net::Target(exchange.request()));
     const std::string_view expected =
         net::Header(exchange.request(), "Expect-Instance");
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -196,9 +196,9 @@
   fleet_.SetTarget(Entry("b"));
   fleet_.Takers("s")[0]->Suspect(RuntimeClock::now());
   EXPECT_EQ(Choose().value().runner->entry.id, "b");
-  tried_.push_back("b");
+  tried_.emplace_back("b");
   EXPECT_EQ(Choose().value().runner->entry.id, "a");
-  tried_.push_back("a");
+  tried_.emplace_back("a");
   EXPECT_FALSE(Choose().ok());
 }
 
