--- a/tests/src/process-platform.cpp
+++ b/tests/src/process-platform.cpp
@@ -317,10 +317,10 @@
 TEST_F(Platform, AGracefulStopFinishesWhatRuns) {
   SetAllRunners({{"cut_at", -1}});
   auto running = std::async(std::launch::async, [&] {
-    std::vector<int> statuses;
-    for (int i = 0; i < 5; ++i) {
-      statuses.push_back(
-          StatusOf(fleet_.Ask(0, "/chat/x", "r" + std::to_string(i))));
+    constexpr int kRequests = 5;
+    std::vector<int> statuses(kRequests);
+    for (int i = 0; i < kRequests; ++i) {
+      statuses[i] = StatusOf(fleet_.Ask(0, "/chat/x", "r" + std::to_string(i)));
     }
     return statuses;
   });
@@ -348,18 +348,19 @@
   const std::string inner =
       "POST /book/x HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: inner\r\n"
       "Credential: key-of-workshop\r\nContent-Length: 0\r\n\r\n";
+  const std::string both_framings =
+      "s1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+  const std::string without_id =
+      "POST /book/x HTTP/1.1\r\nHost: shop.example\r\n"
+      "Credential: key-of-workshop\r\nContent-Length: 0\r\n\r\n";
   const std::vector<std::string> inputs{
-      head +
-          "s1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0"
-          "\r\n\r\n" +
-          inner,
+      head + both_framings + inner,
       head + "s2\r\nTransfer-Encoding: xchunked\r\n\r\n" + inner,
       head + "s3\r\nTransfer-Encoding: chunked, identity\r\n\r\n" + inner,
       head + "s4\r\nContent-Length: 2\r\nContent-Length: 200\r\n\r\n" + inner,
       head + "s5\r\nX-Big: " + std::string(20000, 'x') + "\r\n\r\n",
       head + "s6\r\nContent-Length: 9999999\r\n\r\n",
-      "POST /book/x HTTP/1.1\r\nHost: shop.example\r\nCredential: "
-      "key-of-workshop\r\nContent-Length: 0\r\n\r\n"};
+      without_id};
   for (const std::string& input : inputs) {
     const std::string answer =
         CallRaw(fleet_.router_address(0), input, milliseconds(300));
