--- a/scripts/lib/common.sh
+++ b/scripts/lib/common.sh
@@ -8,6 +8,9 @@
   libbenchmark-dev libgtest-dev libclang-rt-14-dev ninja-build ccache
   cmake g++ clang-format-14 clang-tidy-14 curl jq"
 
+# Lets the compiler's cache serve any checkout of the same sources.
+export CCACHE_BASEDIR=$ROOT CCACHE_NOHASHDIR=true
+
 # Installs what is missing. Needs root only where something is missing.
 install_packages() {
   local missing=()
--- a/tests/src/unit-lease.cpp
+++ b/tests/src/unit-lease.cpp
@@ -66,6 +66,7 @@
   constexpr int kHosts = 3;
   std::vector<std::string> log;
   std::vector<Lease> hosts;
+  hosts.reserve(kHosts);
   for (int i = 0; i < kHosts; ++i) {
     hosts.emplace_back(std::string(1, static_cast<char>('a' + i)), kTerms);
   }
