--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -57,6 +57,18 @@
   return json::parse(answer.value().body(), nullptr, false);
 }
 
+double ReadMetric(const net::Address& address, const std::string& prefix) {
+  const auto answer = Call(address, net::http::verb::get, "/metrics");
+  if (!answer.ok()) return 0;
+  std::istringstream lines(answer.value().body());
+  double sum = 0;
+  for (std::string line; std::getline(lines, line);) {
+    if (!line.starts_with(prefix)) continue;
+    sum += std::strtod(line.substr(line.rfind(' ') + 1).c_str(), nullptr);
+  }
+  return sum;
+}
+
 Process::Process(const std::string& path,
                  const std::vector<std::string>& arguments,
                  const std::string& log_file) {
@@ -351,16 +363,7 @@
 }
 
 double Fleet::Metric(int router, const std::string& prefix) const {
-  const auto answer =
-      Call(admin_ports_[router], net::http::verb::get, "/metrics");
-  if (!answer.ok()) return 0;
-  std::istringstream lines(answer.value().body());
-  double sum = 0;
-  for (std::string line; std::getline(lines, line);) {
-    if (!line.starts_with(prefix)) continue;
-    sum += std::strtod(line.substr(line.rfind(' ') + 1).c_str(), nullptr);
-  }
-  return sum;
+  return ReadMetric(admin_ports_[router], prefix);
 }
 
 std::string Fleet::NewKey(const std::string& name) {
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -49,6 +49,10 @@
 nlohmann::json ControlAt(const net::Address& address,
                          const nlohmann::json& change);
 
+/// Sum of a process's series whose names begin with `prefix`; 0 where it does
+/// not answer. @pre none.
+double ReadMetric(const net::Address& address, const std::string& prefix);
+
 /// A header to send.
 using Headers = std::vector<std::pair<std::string, std::string>>;
 
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -204,16 +204,7 @@
 }
 
 double PlatformFleet::Metric(int router, const std::string& prefix) const {
-  const auto answer =
-      Call(metrics_ports_[router], net::http::verb::get, "/metrics");
-  if (!answer.ok()) return 0;
-  std::istringstream lines(answer.value().body());
-  double sum = 0;
-  for (std::string line; std::getline(lines, line);) {
-    if (!line.starts_with(prefix)) continue;
-    sum += std::strtod(line.substr(line.rfind(' ') + 1).c_str(), nullptr);
-  }
-  return sum;
+  return ReadMetric(metrics_ports_[router], prefix);
 }
 
 std::string PlatformFleet::LogOf(int router) const {
