Let the list of targets correct a wrong belief about weights

Cause: found by reading. A late hint that a target has new weights would raise the belief about its next incarnation, and neither the list nor an order could lower it again, so the target would have been left on old weights. The list now goes before the belief five seconds after that was last raised. The unit test failed before.

--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -19,6 +19,10 @@
 // What a peer told of its requests holds until it tells anew, and no longer.
 constexpr milliseconds kPeerLoadLife{3000};
 constexpr milliseconds kPeerUnreadLife{500};
+// The list is behind what answers and orders show by a beat, its delay and the
+// pace of reading; after that it is right, and a belief that it does not share
+// came from a hint about an earlier incarnation.
+constexpr milliseconds kListLag{5000};
 // Share of a runner's memory that cached parts can count on beside running
 // requests.
 constexpr double kCacheShare = 0.85;
@@ -34,6 +38,7 @@
   std::uint64_t& known = entry.weights[model];
   if (version <= known) return;
   known = version;
+  version_learned_at = RuntimeClock::now();
   cache.Clear();
 }
 
@@ -86,8 +91,10 @@
                        runner->entry.address == entry.address;
   if (is_same) {
     if (entry.beat < runner->entry.beat) return;
-    // The list lags behind what answers and orders showed.
+    const bool is_list_behind =
+        RuntimeClock::now() - runner->version_learned_at < kListLag;
     for (auto& [model, version] : runner->entry.weights) {
+      if (!is_list_behind) break;
       std::uint64_t& listed = entry.weights[model];
       if (listed > version) runner->cache.Clear();
       listed = std::max(listed, version);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -51,6 +51,8 @@
   /// Full when last asked; not chosen before this time where others are free.
   RuntimeClock::time_point full_until;
   PartCache cache;
+  /// When a version was last learned otherwise than from the list.
+  RuntimeClock::time_point version_learned_at;
 
   /// Weights version of a model; 0 where unknown. @pre none.
   std::uint64_t VersionOf(const std::string& model) const;
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -97,6 +97,23 @@
   EXPECT_FALSE(runner.cache.Holds(1));
 }
 
+// Found by reading: a hint about an earlier incarnation would have kept a
+// target from being ordered for good.
+TEST(FleetState, TheListCorrectsAWrongBeliefAboutWeights) {
+  const PausedClock paused;
+  Fleet fleet;
+  RuntimeClock::Advance(seconds(10));
+  fleet.SetTarget(Entry("i", "s", 1));
+  const auto runner = fleet.Takers("s")[0];
+  runner->LearnVersion("m", 3);
+  RuntimeClock::Advance(seconds(2));
+  fleet.SetTarget(Entry("i", "s", 1));
+  EXPECT_EQ(runner->VersionOf("m"), 3U);
+  RuntimeClock::Advance(seconds(4));
+  fleet.SetTarget(Entry("i", "s", 1));
+  EXPECT_EQ(runner->VersionOf("m"), 1U);
+}
+
 TEST(FleetState, TheLongestPrefixWins) {
   FleetConfig config;
   for (const char* prefix : {"/a/", "/a/b/", "/"}) {
