Send unanswered orders again at once and give other targets their turn

Ruled out: the lease (one holder throughout) and the store.

Routers come to the lease in the order of their names among those heard, 150 ms apart. Older weights are used until the deployment's bound less 1.2 s. Routers tell each other the parts of a prompt when it is placed, not when it is read, and take it back when the request did not run.

Test: PlatformRollout.TargetsThatIgnoreOrdersDoNotHoldUpOthers.

--- a/src/fleet/fleet_front.cc
+++ b/src/fleet/fleet_front.cc
@@ -18,6 +18,8 @@
 
 // A check of a credential and the sending of its request lie this close.
 constexpr milliseconds kRevocationMargin{200};
+// Longest time for which a request that was sent waits to begin.
+constexpr milliseconds kQueueMargin{1200};
 // A caller that comes back meets another host or a freed slot by then.
 constexpr std::string_view kRetryAfterSeconds = "0.2";
 constexpr int kUnavailable = 503;
@@ -47,7 +49,8 @@
       peers_(peers),
       follower_(follower),
       place_{settings.availability_zone, settings.region,
-             settings.region_of_zone},
+             settings.region_of_zone,
+             settings.bounds.old_weights - kQueueMargin},
       metrics_(metrics) {}
 
 bool FleetFront::IsFreshEnough() const {
--- a/src/fleet/part_cache.h
+++ b/src/fleet/part_cache.h
@@ -30,6 +30,14 @@
       order_.pop_back();
     }
   }
+  /// Forgets a part that was not read after all. @pre none.
+  void Forget(std::uint64_t part) {
+    const auto it = entries_.find(part);
+    if (it == entries_.end()) return;
+    tokens_ -= it->second->tokens;
+    order_.erase(it->second);
+    entries_.erase(it);
+  }
   /// Whether a part is believed to be held. @pre none.
   bool Holds(std::uint64_t part) const { return entries_.contains(part); }
   /// Forgets everything, because the runner did. @pre none.
--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -1,5 +1,6 @@
 #include "src/fleet/peers.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -15,6 +16,9 @@
 
 // Loads change within a request's time; faster batches gain little.
 constexpr milliseconds kBatchPace{200};
+// A prompt is read within some hundred milliseconds; requests for the same
+// parts must hear of it before.
+constexpr milliseconds kPartPace{20};
 constexpr milliseconds kRegisterPause{500};
 // Neighbours take a router for gone after this silence, and send before it.
 constexpr milliseconds kNeighbourLife{1500};
@@ -52,8 +56,9 @@
     co_await net::Sleep(kRegisterPause);
   }
   for (;;) {
-    co_await net::Sleep(kBatchPace);
-    SendBatch();
+    co_await net::Sleep(kPartPace);
+    const bool is_due = RuntimeClock::now() - sent_at_ >= kBatchPace;
+    if (is_due || !new_parts_.empty()) SendBatch();
   }
 }
 
@@ -102,6 +107,15 @@
   return reader->relay_address;
 }
 
+std::size_t Peers::Rank() const {
+  const auto now = RuntimeClock::now();
+  return static_cast<std::size_t>(
+      std::count_if(heard_at_.begin(), heard_at_.end(), [&](const auto& heard) {
+        return heard.first < self_.host_id &&
+               now - heard.second < kNeighbourLife;
+      }));
+}
+
 void Peers::Distrust(const std::string& reader) {
   for (auto& [host, neighbour] : neighbours_) {
     if (neighbour.relay_address == reader) {
@@ -188,6 +202,7 @@
     const json& from = body.at(kSender);
     const std::string sender = from.at(0);
     known_hosts_.insert(sender);
+    heard_at_[sender] = now;
     if (from.at(1) == self_.availability_zone) {
       Neighbour& neighbour = neighbours_[sender];
       neighbour.relay_address = from.at(2);
@@ -201,7 +216,13 @@
     }
     for (const json& part : body.value(kParts, json::array())) {
       Runner* runner = find(part.at(0));
-      if (runner != nullptr) runner->cache.Use(part.at(1), part.at(2));
+      if (runner == nullptr) continue;
+      const std::uint32_t tokens = part.at(2);
+      if (tokens == kRetracted) {
+        runner->cache.Forget(part.at(1));
+      } else {
+        runner->cache.Use(part.at(1), tokens);
+      }
     }
   } catch (const json::exception& error) {
     telemetry::Log(Level::kWarning, telemetry::event::kRecordIgnored,
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -35,6 +35,9 @@
   std::optional<std::string> Reader() const;
   /// Routers that were ever seen, this one included. @pre none.
   std::size_t known_hosts() const { return known_hosts_.size(); }
+  /// Place of this router among those that were heard lately, from 0; each of
+  /// them mostly comes to another place. @pre none.
+  std::size_t Rank() const;
   /// Notes that a reader did not answer, or has old records. @pre none.
   void Distrust(const std::string& reader);
 
@@ -48,8 +51,12 @@
   /// Tells that a target has the weights. @pre none.
   void AnnounceWeights(const Runner& runner, const std::string& model,
                        std::uint64_t version);
-  /// Tells that a target holds a part; sent with the next batch. @pre none.
+  /// Tells that a target reads a part; sent with the next batch. @pre none.
   void NotePart(const Runner& runner, std::uint64_t part, std::uint32_t tokens);
+  /// Takes back what `NotePart` told. @pre none.
+  void RetractPart(const Runner& runner, std::uint64_t part) {
+    NotePart(runner, part, kRetracted);
+  }
 
  private:
   // Another router of this zone.
@@ -59,6 +66,8 @@
     RuntimeClock::time_point heard_at;
     RuntimeClock::time_point distrusted_until;
   };
+  // Tokens of a part that was not read after all.
+  static constexpr std::uint32_t kRetracted = 0;
   struct PartHint {
     std::uint64_t runner;
     std::uint64_t part;
@@ -76,6 +85,7 @@
   std::optional<std::uint64_t> order_;
   std::map<std::string, Neighbour> neighbours_;
   std::set<std::string> known_hosts_;
+  std::map<std::string, RuntimeClock::time_point> heard_at_;
   RuntimeClock::time_point sent_at_;
   wire::PeerBus bus_;
   std::vector<PartHint> new_parts_;
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -14,9 +14,8 @@
 using Millis = std::chrono::duration<double, std::milli>;
 
 // Requests that begin on older weights lose part of their worth after this
-// time, and all of it later; from then on nothing is sent to old weights.
+// time.
 constexpr milliseconds kFreeLag{1300};
-constexpr milliseconds kLongestLag{6000};
 constexpr Millis kStalePenalty{150};
 // Slow-down of a runner's step for each further request in its batch.
 constexpr double kWaitMsPerRequest = 1.5;
@@ -196,7 +195,7 @@
                               goal.found_at_start.contains(goal.version);
   std::optional<Choice> best;
   for (auto it = by_version.rbegin(); it != by_version.rend(); ++it) {
-    const bool is_too_old = goal.Lag(it->first, boot_now) > kLongestLag ||
+    const bool is_too_old = goal.Lag(it->first, boot_now) > place.longest_lag ||
                             (is_goal_in_use && it->first < goal.version);
     if (is_too_old) continue;
     Choice choice =
--- a/src/fleet/placement.h
+++ b/src/fleet/placement.h
@@ -18,6 +18,8 @@
   std::string availability_zone;
   std::string region;
   std::map<std::string, std::string> region_of_zone;
+  /// Nothing is sent to weights for which newer ones were named this long ago.
+  std::chrono::milliseconds longest_lag{6000};
 };
 
 /// The choice for one attempt.
--- a/src/fleet/runner_dialect.cc
+++ b/src/fleet/runner_dialect.cc
@@ -100,6 +100,7 @@
   ++runner.own_running;
   runner.own_unread_tokens += choice_.unread_tokens;
   is_counted_ = true;
+  ExpectCachedParts();
   tried_.push_back(runner.entry.id);
   metrics_.attempts.Add();
   LogChoice();
@@ -191,7 +192,7 @@
     // The prompt is read; what follows runs without holding up others.
     runner.own_unread_tokens -= choice_.unread_tokens;
     choice_.unread_tokens = 0;
-    LearnCachedParts();
+    expected_parts_.clear();
     return {Judgement::Kind::kRelay, {}};
   }
   Error error{
@@ -210,18 +211,28 @@
   return {Judgement::Kind::kRelay, {}};
 }
 
-void RunnerDialect::LearnCachedParts() {
+void RunnerDialect::ExpectCachedParts() {
+  expected_parts_.clear();
   if (!routed_.service->engine) return;
   const auto keys = PartKeys(routed_.request, choice_.cache_salt);
   for (std::size_t i = 0; i < keys.size(); ++i) {
     const std::uint32_t tokens = routed_.request.parts[i].tokens;
     if (!choice_.runner->cache.Holds(keys[i])) {
+      expected_parts_.push_back(keys[i]);
       peers_.NotePart(*choice_.runner, keys[i], tokens);
     }
     choice_.runner->cache.Use(keys[i], tokens);
   }
 }
 
+void RunnerDialect::ForgetExpectedParts() {
+  for (const std::uint64_t key : expected_parts_) {
+    choice_.runner->cache.Forget(key);
+    peers_.RetractPart(*choice_.runner, key);
+  }
+  expected_parts_.clear();
+}
+
 bool RunnerDialect::IsStream(const net::AnswerStream& answer) const {
   return routed_.route->is_stream && answer.status() < kMultipleChoices;
 }
@@ -260,6 +271,7 @@
   ReleaseRunner();
   if (relay_) relay_->Restart();
   if (error == nullptr) return;
+  ForgetExpectedParts();
   const bool is_unreachable = error->id == ErrorId::kTargetUnreachable ||
                               error->id == ErrorId::kTargetSilent;
   const auto now = RuntimeClock::now();
--- a/src/fleet/runner_dialect.h
+++ b/src/fleet/runner_dialect.h
@@ -92,7 +92,11 @@
     return routed_.route->repeatability == Repeatability::kIdempotent;
   }
   void ReleaseRunner();
-  void LearnCachedParts();
+  // Notes that the chosen runner is about to read the parts that it lacks, so
+  // that requests for the same parts join it, and others do not read them.
+  void ExpectCachedParts();
+  // Forgets what `ExpectCachedParts` noted, because the attempt did not run.
+  void ForgetExpectedParts();
   void LogChoice() const;
 
   Fleet& fleet_;
@@ -104,6 +108,8 @@
   std::vector<std::string> tried_;
   Choice choice_;
   bool is_counted_ = false;
+  // Parts that the chosen runner was not known to hold.
+  std::vector<std::uint64_t> expected_parts_;
   // Arrivals at targets so far; those after the first draw on the budget.
   int arrivals_ = 0;
   // Targets at which the request may have run.
--- a/src/fleet/weights_rollout.cc
+++ b/src/fleet/weights_rollout.cc
@@ -6,7 +6,6 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "beryllane/hash/hash.h"
 #include "beryllane/rollout/planner.h"
 #include "platform/request_codec.h"
 #include "src/telemetry/log.h"
@@ -25,19 +24,25 @@
 constexpr std::size_t kTargetsPerLoad = 5;
 constexpr std::size_t kLeastAtOnce = 2;
 // The last holder takes the lease anew at once; others follow in turn, so that
-// only one of them calls the store.
-constexpr milliseconds kFirstTurn{300};
-constexpr milliseconds kTurnSpread{700};
+// mostly one of them calls the store.
+constexpr milliseconds kTurn{150};
+constexpr std::size_t kMostTurns = 6;
 // How often a waiting host looks whether the holder still renews.
 constexpr milliseconds kLeaseReadPace{1000};
 constexpr milliseconds kRenewAfter{500};
-// An order is answered at once, or was lost.
-constexpr milliseconds kOrderPatience{700};
+// An order is answered within a few round trips between regions, or was lost.
+constexpr milliseconds kOrderPatience{250};
 // A load takes about this long before it is worth asking.
-constexpr milliseconds kFirstReport{420};
+constexpr milliseconds kFirstReport{300};
 constexpr milliseconds kReportPace{120};
-// A target that has not taken the weights by then is ordered again.
+// A target that has not taken the weights by then gives its place to others.
 constexpr milliseconds kLoadPatience{4000};
+// Time in which a target that accepted an order takes no requests.
+constexpr milliseconds kSwitchTime{1200};
+// A target that could not be ordered is tried again after this time.
+constexpr milliseconds kOrderPause{400};
+// Orders without an answer after which others have their turn.
+constexpr int kMostUnanswered = 2;
 constexpr std::string_view kLeaseKey = "weights";
 
 }  // namespace
@@ -102,8 +107,7 @@
     if (!has_read_lease_) co_return;
   }
   const bool is_last = lease_.last_holder() == host_id_;
-  const auto turn =
-      kFirstTurn + milliseconds(HashBytes(host_id_).low % kTurnSpread.count());
+  const auto turn = kTurn * std::min(peers_.Rank(), kMostTurns);
   if (!is_last && RuntimeClock::now() - work_since_ < turn) co_return;
   if (!lease_.MayAppend(BootClock::now())) co_return;
   co_await Renew();
@@ -161,11 +165,15 @@
 void WeightsRollout::StartOrders(const Work& work) {
   std::vector<rollout::TargetState> states;
   const auto now = RuntimeClock::now();
+  std::erase_if(paused_until_,
+                [now](const auto& pause) { return pause.second <= now; });
   for (const auto& runner : work.runners) {
+    const std::string& id = runner->entry.id;
     rollout::TargetState state;
     state.version = runner->VersionOf(work.model);
-    state.is_switching = under_way_.contains(runner->entry.id);
-    state.is_usable = runner->suspect_until <= now;
+    state.is_switching = under_way_.contains(id);
+    state.is_usable =
+        runner->suspect_until <= now && !paused_until_.contains(id);
     state.running = runner->own_running;
     states.push_back(state);
   }
@@ -185,96 +193,94 @@
                                       std::string model,
                                       std::uint64_t version) {
   const std::string id = runner->entry.id;
-  platform::WeightsOrder order;
-  order.model = model;
-  order.version = version;
-  order.mode = platform::SwitchMode::kContinue;
-  order.holder = host_id_;
-  if (!runner->order_count) {
-    co_await Refresh(*runner, model);
+  const auto limit = RuntimeClock::now() + kLoadPatience;
+  auto progress = runner->order_count ? OrderProgress::kIdle
+                                      : co_await Refresh(*runner, model);
+  // An order whose answer was lost is sent again once the target shows that it
+  // has not begun; the expected count of orders keeps both from being run.
+  int unanswered = 0;
+  while (progress != OrderProgress::kFailed && unanswered < kMostUnanswered &&
+         RuntimeClock::now() < limit && !runner->entry.is_draining &&
+         runner->VersionOf(model) < version) {
+    if (progress == OrderProgress::kIdle) {
+      progress = co_await SendOrder(*runner, model, version);
+      if (progress == OrderProgress::kUnknown) ++unanswered;
+      continue;
+    }
+    co_await net::Sleep(kReportPace);
+    progress = co_await Refresh(*runner, model);
   }
-  const bool is_needed =
-      runner->order_count && runner->VersionOf(model) < version;
-  order.expected_order_count = runner->order_count;
-  const bool may_be_accepted = is_needed && co_await SendOrder(*runner, order);
-  if (may_be_accepted) {
-    co_await AwaitWeights(runner, model, version);
+  if (runner->VersionOf(model) >= version) {
+    telemetry::Log(Level::kInfo, telemetry::event::kWeightsInPlace,
+                   {{"target", id}, {"model", model}, {"version", version}});
+    peers_.AnnounceWeights(*runner, model, version);
+  } else {
+    paused_until_[id] = RuntimeClock::now() + kOrderPause;
   }
   runner->switching_until = {};
   under_way_.erase(id);
 }
 
-awaitable<bool> WeightsRollout::SendOrder(Runner& runner,
-                                          const platform::WeightsOrder& order) {
+awaitable<WeightsRollout::OrderProgress> WeightsRollout::SendOrder(
+    Runner& runner, const std::string& model, std::uint64_t version) {
   constexpr int kAccepted = 202;
   constexpr int kHoldsAlready = 200;
   constexpr int kConflict = 409;
   constexpr int kOldToken = 412;
   // Nothing may come between this check and the order.
-  if (!lease_.IsHeld(BootClock::now())) co_return false;
-  platform::WeightsOrder fenced = order;
-  fenced.fencing_token = lease_.token();
+  if (!lease_.IsHeld(BootClock::now())) co_return OrderProgress::kFailed;
+  platform::WeightsOrder order;
+  order.model = model;
+  order.version = version;
+  order.mode = platform::SwitchMode::kContinue;
+  order.holder = host_id_;
+  order.fencing_token = lease_.token();
+  order.expected_order_count = runner.order_count;
   net::Request request =
       platform::MakeTargetCall(net::http::verb::post, platform::kOrderPath,
-                               platform::EncodeOrder(fenced), runner.entry.id);
+                               platform::EncodeOrder(order), runner.entry.id);
   net::CallOptions options;
   options.connect_timeout = kOrderPatience;
   options.answer_timeout = kOrderPatience;
   options.unstated_idle_limit = std::chrono::nanoseconds(0);
-  runner.switching_until = RuntimeClock::now() + kLoadPatience;
+  runner.switching_until = RuntimeClock::now() + kSwitchTime;
   orders_.Add();
-  peers_.AnnounceOrder(runner, order.model, order.version);
+  peers_.AnnounceOrder(runner, model, version);
   auto answer =
       co_await client_.Call(runner.entry.address, std::move(request), options);
   const int status =
       answer.ok() ? static_cast<int>(answer.value().result_int()) : 0;
   telemetry::Log(Level::kInfo, telemetry::event::kOrderSent,
                  {{"target", runner.entry.id},
-                  {"model", order.model},
-                  {"version", order.version},
-                  {"token", fenced.fencing_token},
+                  {"model", model},
+                  {"version", version},
+                  {"token", order.fencing_token},
                   {"expected_orders", order.expected_order_count.value_or(0)},
                   {"status", status},
                   {"message", answer.ok() ? "" : answer.error().message}});
-  if (status == kAccepted) co_return true;
+  if (status == kAccepted) {
+    co_await net::Sleep(kFirstReport);
+    co_return OrderProgress::kUnderWay;
+  }
   if (status == kHoldsAlready) {
-    runner.LearnVersion(order.model, order.version);
-    co_return false;
+    runner.LearnVersion(model, version);
+    co_return OrderProgress::kIdle;
   }
   order_failures_.Add();
   if (status == kOldToken) lease_.Abandon();
-  if (status == kConflict) {
-    co_await Refresh(runner, order.model);
-  }
-  if (!answer.ok() && answer.error().verdict == Verdict::kNotRun) {
-    runner.Suspect(RuntimeClock::now());
-    co_return false;
-  }
-  // An order without an answer may be carried out later.
-  co_return !answer.ok();
+  // A target that has not taken the order goes on serving.
+  runner.switching_until = {};
+  const bool is_unreachable =
+      !answer.ok() && answer.error().verdict == Verdict::kNotRun;
+  if (is_unreachable) runner.Suspect(RuntimeClock::now());
+  if (!answer.ok() && !is_unreachable) co_return OrderProgress::kUnknown;
+  co_return status == kConflict ? OrderProgress::kUnderWay
+                                : OrderProgress::kFailed;
 }
 
-awaitable<void> WeightsRollout::AwaitWeights(std::shared_ptr<Runner> runner,
-                                             std::string model,
-                                             std::uint64_t version) {
-  const auto limit = RuntimeClock::now() + kLoadPatience;
-  co_await net::Sleep(kFirstReport);
-  while (RuntimeClock::now() < limit && !runner->entry.is_draining) {
-    const bool is_idle = co_await Refresh(*runner, model);
-    if (is_idle && runner->VersionOf(model) >= version) {
-      telemetry::Log(Level::kInfo, telemetry::event::kWeightsInPlace,
-                     {{"target", runner->entry.id},
-                      {"model", model},
-                      {"version", version}});
-      peers_.AnnounceWeights(*runner, model, version);
-      co_return;
-    }
-    co_await net::Sleep(kReportPace);
-  }
-}
-
-awaitable<bool> WeightsRollout::Refresh(Runner& runner,
-                                        const std::string& model) {
+awaitable<WeightsRollout::OrderProgress> WeightsRollout::Refresh(
+    Runner& runner, const std::string& model) {
+  constexpr int kOk = 200;
   net::Request request = platform::MakeTargetCall(
       net::http::verb::get, platform::kReportPath, "", runner.entry.id);
   net::CallOptions options;
@@ -283,15 +289,28 @@
   options.unstated_idle_limit = std::chrono::nanoseconds(0);
   auto answer =
       co_await client_.Call(runner.entry.address, std::move(request), options);
-  if (!answer.ok()) co_return false;
+  if (!answer.ok()) {
+    // The target may be busy with its load; only a closed port shows that it
+    // is gone.
+    co_return answer.error().verdict == Verdict::kNotRun
+        ? OrderProgress::kFailed
+        : OrderProgress::kUnderWay;
+  }
+  if (answer.value().result_int() != kOk) co_return OrderProgress::kFailed;
   auto report = platform::DecodeReport(answer.value().body());
-  if (!report.ok()) co_return false;
+  if (!report.ok()) {
+    telemetry::Log(
+        Level::kWarning, telemetry::event::kRecordIgnored,
+        {{"target", runner.entry.id}, {"message", report.error().message}});
+    co_return OrderProgress::kFailed;
+  }
   runner.order_count = report.value().order_count;
   const auto weights = report.value().weights.find(model);
   if (weights != report.value().weights.end()) {
     runner.LearnVersion(model, weights->second);
   }
-  co_return !report.value().is_order_under_way;
+  co_return report.value().is_order_under_way ? OrderProgress::kUnderWay
+                                              : OrderProgress::kIdle;
 }
 
 }  // namespace beryllane::fleet
--- a/src/fleet/weights_rollout.h
+++ b/src/fleet/weights_rollout.h
@@ -45,14 +45,27 @@
   net::asio::awaitable<void> ReadLease();
   net::asio::awaitable<void> Renew();
   void StartOrders(const Work& work);
+  // What is known of an order that was sent.
+  enum class OrderProgress {
+    // The target carries out no order.
+    kIdle,
+    // The target carries one out.
+    kUnderWay,
+    // The order was not answered, and may be carried out yet.
+    kUnknown,
+    // The target cannot be ordered now.
+    kFailed,
+  };
+
+  // Brings one target to a version, over lost answers.
   net::asio::awaitable<void> Order(std::shared_ptr<Runner> runner,
                                    std::string model, std::uint64_t version);
-  net::asio::awaitable<bool> SendOrder(Runner& runner,
-                                       const platform::WeightsOrder& order);
-  net::asio::awaitable<void> AwaitWeights(std::shared_ptr<Runner> runner,
-                                          std::string model,
-                                          std::uint64_t version);
-  net::asio::awaitable<bool> Refresh(Runner& runner, const std::string& model);
+  net::asio::awaitable<OrderProgress> SendOrder(Runner& runner,
+                                                const std::string& model,
+                                                std::uint64_t version);
+  // Asks the target for its weights and order under way.
+  net::asio::awaitable<OrderProgress> Refresh(Runner& runner,
+                                              const std::string& model);
 
   platform::StoreClient& store_;
   net::HttpClient& client_;
@@ -67,6 +80,8 @@
   BootClock::time_point renewed_at_;
   // Targets with an order under way, by id.
   std::map<std::string, RuntimeClock::time_point> under_way_;
+  // Targets that could not be ordered and are left alone until then, by id.
+  std::map<std::string, RuntimeClock::time_point> paused_until_;
   Counter& orders_;
   Counter& order_failures_;
 };
--- a/standins/runner_main.cc
+++ b/standins/runner_main.cc
@@ -45,6 +45,8 @@
   bool unsealed = false;
   // Nothing is answered.
   bool silent = false;
+  // Orders are neither answered nor carried out.
+  bool ignore_orders = false;
   // Streams break off within the event of this number; negative is never.
   int cut_at = -1;
 };
@@ -76,6 +78,8 @@
     } else if (path == "/api/report") {
       net::Response answer = JsonAnswer(200, Report());
       co_await exchange.Respond(std::move(answer));
+    } else if (path == "/api/order" && faults_.ignore_orders) {
+      co_await exchange.WaitForClose();
     } else if (path == "/api/order") {
       co_await Order(exchange);
     } else {
@@ -93,6 +97,8 @@
       faults_.answer_other = change.value("answer_other", faults_.answer_other);
       faults_.unsealed = change.value("unsealed", faults_.unsealed);
       faults_.silent = change.value("silent", faults_.silent);
+      faults_.ignore_orders =
+          change.value("ignore_orders", faults_.ignore_orders);
       faults_.cut_at = change.value("cut_at", faults_.cut_at);
       state_ = change.value("state", state_);
     }
--- a/tests/src/process-platform.cpp
+++ b/tests/src/process-platform.cpp
@@ -473,6 +473,18 @@
   }
 }
 
+// Each rollout had two places, which the targets that did not answer took again
+// and again.
+TEST_F(PlatformRollout, TargetsThatIgnoreOrdersDoNotHoldUpOthers) {
+  fleet_.ControlRunner(0, {{"ignore_orders", true}});
+  fleet_.ControlRunner(1, {{"ignore_orders", true}});
+  Name(2);
+  EXPECT_TRUE(Eventually([&] { return Seen(2)["version"] == 2; }));
+  fleet_.ControlRunner(0, {{"ignore_orders", false}});
+  fleet_.ControlRunner(1, {{"ignore_orders", false}});
+  EXPECT_TRUE(Eventually([&] { return AllHave(2); }));
+}
+
 // Routers 0 and 3 share a zone; the one that registered first reads.
 class PlatformRelay : public ::testing::Test {
  protected:
