Follow the runners' caches by waiting calls; wait for the first read of a part

Each request's own part passes through the same memory, so a part that is not used for some 5 s goes.

One router of a runner's zone now asks it for changes, by calls that wait, and tells the others what was dropped. A request for parts that another one is reading waits for them, 150 ms at most.

Tests: Platform.ADroppedPromptIsCopiedFromTheRunnerThatHoldsIt, FleetPlacement.ARequestWaitsWhileAnotherReadsTheSameParts, FleetParts.*, PlatformCacheChanges.*.

--- a/src/caller/completion_dialect.h
+++ b/src/caller/completion_dialect.h
@@ -48,6 +48,9 @@
                     CompletionPlan plan, bool is_stream, std::string body);
 
   Result<exchange::Target> Choose();
+  std::chrono::nanoseconds SendDelay() const {
+    return std::chrono::nanoseconds(0);
+  }
   net::Request Encode(const exchange::Target& target) const;
   net::CallOptions Options() const;
   std::chrono::nanoseconds ProgressTimeout() const;
--- a/src/caller/service_dialect.h
+++ b/src/caller/service_dialect.h
@@ -27,6 +27,9 @@
   ServiceDialect& operator=(const ServiceDialect&) = delete;
 
   Result<exchange::Target> Choose();
+  std::chrono::nanoseconds SendDelay() const {
+    return std::chrono::nanoseconds(0);
+  }
   net::Request Encode(const exchange::Target& target) const;
   net::CallOptions Options() const;
   std::chrono::nanoseconds ProgressTimeout() const {
--- a/src/exchange/engine.cc
+++ b/src/exchange/engine.cc
@@ -50,6 +50,10 @@
 }
 
 awaitable<Engine::AttemptEnd> Engine::Attempt(Target target) {
+  const auto delay = With(dialect_, [](auto& d) { return d.SendDelay(); });
+  if (delay > std::chrono::nanoseconds(0)) {
+    co_await net::Sleep(delay);
+  }
   net::Request request =
       With(dialect_, [&](auto& d) { return d.Encode(target); });
   const net::CallOptions options =
--- a/src/exchange/engine.h
+++ b/src/exchange/engine.h
@@ -65,6 +65,7 @@
 /// One language spoken between a kind of caller and a kind of target. Each
 /// alternative provides:
 /// - `Result<Target> Choose()`: the next target, or the refusal.
+/// - `std::chrono::nanoseconds SendDelay()`: how long to wait before sending.
 /// - `net::Request Encode(const Target&)` and `net::CallOptions Options()`.
 /// - `std::chrono::nanoseconds ProgressTimeout()`: longest silence from now.
 /// - `Judgement Judge(const net::AnswerStream&, const Target&)`.
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -122,6 +122,10 @@
   WeightsGoal GoalOf(const std::string& model) const;
   const std::map<std::string, WeightsGoal>& goals() const { return goals_; }
 
+  /// Parts that requests were seen to share, as far as they are remembered.
+  /// @pre none.
+  PartCache& shared_parts() { return shared_parts_; }
+
   /// Retry budget of a service. @pre none.
   RetryWindow& BudgetOf(const std::string& service);
   /// Sets the share of the budget that each service gets. @pre none.
@@ -132,6 +136,7 @@
   std::map<std::string, std::shared_ptr<Runner>> targets_;
   std::map<std::string, WeightsGoal> goals_;
   std::map<std::string, RetryWindow> budgets_;
+  PartCache shared_parts_;
   RetryShare retry_share_;
 };
 
--- a/src/fleet/fleet_node.cc
+++ b/src/fleet/fleet_node.cc
@@ -67,6 +67,7 @@
             reply(follower_.relay().Serve(message));
           }),
       peers_(pool_.at(0), store_, fleet_, IdentityOf(settings_), metrics_),
+      cache_follower_(client_, fleet_, peers_, metrics_),
       rollout_(store_, client_, fleet_, peers_, settings_.host_id,
                LeaseTerms(settings_.bounds), metrics_),
       front_(settings_, client_, fleet_, peers_, follower_, metrics_),
@@ -146,6 +147,7 @@
   co_spawn(loop, follower_.FollowOperator(), detached);
   co_spawn(loop, follower_.FollowTargets(), detached);
   co_spawn(loop, peers_.Run(), detached);
+  co_spawn(loop, cache_follower_.Run(), detached);
   co_spawn(loop, rollout_.Run(), detached);
   co_spawn(loop, WatchReadiness(), detached);
   co_spawn(loop, AwaitStop(), detached);
--- a/src/fleet/fleet_node.h
+++ b/src/fleet/fleet_node.h
@@ -7,6 +7,7 @@
 
 #include "platform/settings.h"
 #include "platform/store_client.h"
+#include "src/fleet/cache_follower.h"
 #include "src/fleet/fleet.h"
 #include "src/fleet/fleet_front.h"
 #include "src/fleet/peers.h"
@@ -55,6 +56,7 @@
   StoreFollower follower_;
   wire::PeerServer relay_server_;
   Peers peers_;
+  CacheFollower cache_follower_;
   WeightsRollout rollout_;
   FleetFront front_;
   net::HttpServer callers_;
--- a/src/fleet/part_cache.h
+++ b/src/fleet/part_cache.h
@@ -7,21 +7,24 @@
 #include <list>
 #include <unordered_map>
 
+#include "beryllane/clock/runtime_clock.h"
+
 namespace beryllane::fleet {
 
 /// Mirrors a cache that drops the least recently used parts, from what was
 /// sent to its runner. Not thread-safe.
 class PartCache {
  public:
-  /// Notes that a request used a part. @pre none. Complexity: amortized
-  /// constant.
-  void Use(std::uint64_t part, std::uint32_t tokens) {
+  /// Notes that a request used a part; a part that is new is taken to be read
+  /// by `ready_at`. @pre none. Complexity: amortized constant.
+  void Use(std::uint64_t part, std::uint32_t tokens,
+           RuntimeClock::time_point ready_at = {}) {
     const auto it = entries_.find(part);
     if (it != entries_.end()) {
       order_.splice(order_.begin(), order_, it->second);
       return;
     }
-    order_.push_front({part, tokens});
+    order_.push_front({part, tokens, ready_at});
     entries_[part] = order_.begin();
     tokens_ += tokens;
     while (tokens_ > capacity_ && order_.size() > 1) {
@@ -40,6 +43,23 @@
   }
   /// Whether a part is believed to be held. @pre none.
   bool Holds(std::uint64_t part) const { return entries_.contains(part); }
+  /// When a part is read; the beginning of time where it is not held. @pre
+  /// none.
+  RuntimeClock::time_point ReadyAt(std::uint64_t part) const {
+    const auto it = entries_.find(part);
+    return it == entries_.end() ? RuntimeClock::time_point()
+                                : it->second->ready_at;
+  }
+  /// Notes that a part was read. @pre none.
+  void MarkReady(std::uint64_t part) {
+    const auto it = entries_.find(part);
+    if (it != entries_.end()) it->second->ready_at = {};
+  }
+  /// Tokens of a part; 0 where it is not held. @pre none.
+  std::uint32_t TokensOf(std::uint64_t part) const {
+    const auto it = entries_.find(part);
+    return it == entries_.end() ? 0 : it->second->tokens;
+  }
   /// Forgets everything, because the runner did. @pre none.
   void Clear() {
     entries_.clear();
@@ -53,6 +73,7 @@
   struct Entry {
     std::uint64_t part;
     std::uint32_t tokens;
+    RuntimeClock::time_point ready_at;
   };
 
   std::uint64_t capacity_ = 50000;
--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "beryllane/placement/rendezvous.h"
 #include "src/telemetry/log.h"
 
 namespace beryllane::fleet {
@@ -20,14 +21,16 @@
 // parts must hear of it before.
 constexpr milliseconds kPartPace{20};
 constexpr milliseconds kRegisterPause{500};
-// Neighbours take a router for gone after this silence, and send before it.
-constexpr milliseconds kNeighbourLife{1500};
+// Well under the silence after which a router is taken for gone.
 constexpr milliseconds kLongestSilence{500};
 // A reader that failed is asked again after this time.
 constexpr milliseconds kDistrust{2000};
 // A target takes new weights for about this long.
 constexpr milliseconds kSwitchTime{900};
 
+// Reading speed of a runner; from the deployments' data sheets.
+constexpr std::uint32_t kTokensPerMs = 40;
+
 // Fields of a batch; short, because each message goes to every peer.
 constexpr const char* kSender = "h";
 constexpr const char* kLoads = "l";
@@ -96,8 +99,8 @@
   const auto now = RuntimeClock::now();
   const Neighbour* reader = nullptr;
   for (const auto& [host, neighbour] : neighbours_) {
-    const bool is_usable = now - neighbour.heard_at < kNeighbourLife &&
-                           neighbour.distrusted_until <= now;
+    const bool is_usable =
+        now - neighbour.heard_at < kLife && neighbour.distrusted_until <= now;
     const bool is_earlier =
         reader == nullptr || neighbour.order < reader->order;
     if (is_usable && is_earlier) reader = &neighbour;
@@ -110,12 +113,31 @@
 std::size_t Peers::Rank() const {
   const auto now = RuntimeClock::now();
   return static_cast<std::size_t>(
-      std::count_if(heard_at_.begin(), heard_at_.end(), [&](const auto& heard) {
-        return heard.first < self_.host_id &&
-               now - heard.second < kNeighbourLife;
+      std::count_if(heard_.begin(), heard_.end(), [&](const auto& router) {
+        return router.first < self_.host_id && router.second.IsAlive(now);
       }));
 }
 
+bool Peers::IsKeeperOf(const Runner& runner) const {
+  const auto now = RuntimeClock::now();
+  const std::string& zone = runner.entry.availability_zone;
+  const auto is_near = [&](const auto& router) {
+    return router.second.IsAlive(now) &&
+           router.second.availability_zone == zone;
+  };
+  const bool is_self_near = zone == self_.availability_zone;
+  const bool has_near =
+      is_self_near || std::any_of(heard_.begin(), heard_.end(), is_near);
+  if (has_near && !is_self_near) return false;
+  const Hash128 key = HashBytes(runner.entry.id);
+  const std::uint64_t own = placement::Score(key, HashBytes(self_.host_id).low);
+  return std::none_of(heard_.begin(), heard_.end(), [&](const auto& router) {
+    const bool is_rival =
+        has_near ? is_near(router) : router.second.IsAlive(now);
+    return is_rival && placement::Score(key, HashBytes(router.first).low) > own;
+  });
+}
+
 void Peers::Distrust(const std::string& reader) {
   for (auto& [host, neighbour] : neighbours_) {
     if (neighbour.relay_address == reader) {
@@ -202,7 +224,7 @@
     const json& from = body.at(kSender);
     const std::string sender = from.at(0);
     known_hosts_.insert(sender);
-    heard_at_[sender] = now;
+    heard_[sender] = {from.at(1), now};
     if (from.at(1) == self_.availability_zone) {
       Neighbour& neighbour = neighbours_[sender];
       neighbour.relay_address = from.at(2);
@@ -221,7 +243,9 @@
       if (tokens == kRetracted) {
         runner->cache.Forget(part.at(1));
       } else {
-        runner->cache.Use(part.at(1), tokens);
+        const auto ready_at = now + milliseconds(tokens / kTokensPerMs);
+        runner->cache.Use(part.at(1), tokens, ready_at);
+        fleet_.shared_parts().Use(part.at(1), 1);
       }
     }
   } catch (const json::exception& error) {
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -38,6 +38,9 @@
   /// Place of this router among those that were heard lately, from 0; each of
   /// them mostly comes to another place. @pre none.
   std::size_t Rank() const;
+  /// Whether this router follows a target's cache for all: one of the target's
+  /// zone does, or one of all where the zone has none. @pre none.
+  bool IsKeeperOf(const Runner& runner) const;
   /// Notes that a reader did not answer, or has old records. @pre none.
   void Distrust(const std::string& reader);
 
@@ -59,6 +62,17 @@
   }
 
  private:
+  // Routers are taken for gone after this silence.
+  static constexpr std::chrono::milliseconds kLife{1500};
+  // Another router.
+  struct Router {
+    std::string availability_zone;
+    RuntimeClock::time_point heard_at;
+
+    bool IsAlive(RuntimeClock::time_point now) const {
+      return now - heard_at < kLife;
+    }
+  };
   // Another router of this zone.
   struct Neighbour {
     std::string relay_address;
@@ -85,7 +99,7 @@
   std::optional<std::uint64_t> order_;
   std::map<std::string, Neighbour> neighbours_;
   std::set<std::string> known_hosts_;
-  std::map<std::string, RuntimeClock::time_point> heard_at_;
+  std::map<std::string, Router> heard_;
   RuntimeClock::time_point sent_at_;
   wire::PeerBus bus_;
   std::vector<PartHint> new_parts_;
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -24,6 +24,9 @@
 // What crossing a region costs a small request in time and bytes.
 constexpr double kServiceOtherRegionMs = 26;
 constexpr Millis kFullPenalty{150};
+// Longest wait for another request to read the parts that both share. Reading
+// them again would take as long, and hold up all others of the runner.
+constexpr milliseconds kLongestJoinWait{150};
 
 std::string RegionOf(const Place& place, const std::string& zone) {
   const auto it = place.region_of_zone.find(zone);
@@ -147,6 +150,14 @@
                              : 0;
   choice.price_ms = decision.price.count();
   choice.candidates = candidates.size();
+  for (const std::uint64_t key : view.keys) {
+    const PartCache& cache = choice.runner->cache;
+    const bool is_copied = !cache.Holds(key) && decision.fetch_from;
+    const PartCache& holder =
+        is_copied ? runners[*decision.fetch_from]->cache : cache;
+    choice.send_at = std::max(choice.send_at, holder.ReadyAt(key));
+  }
+  choice.send_at = std::min(choice.send_at, now + kLongestJoinWait);
   return choice;
 }
 
@@ -168,13 +179,16 @@
 std::vector<std::uint64_t> PartKeys(const platform::CallerRequest& request,
                                     const std::string& salt) {
   std::vector<std::uint64_t> keys;
-  const Hash128 seed = HashBytes(salt);
   for (std::size_t i = 0; i + 1 < request.parts.size(); ++i) {
-    keys.push_back(ChainHash(seed, request.parts[i].id).low);
+    keys.push_back(PartKey(salt, request.parts[i].id));
   }
   return keys;
 }
 
+std::uint64_t PartKey(const std::string& salt, const std::string& part_id) {
+  return ChainHash(HashBytes(salt), part_id).low;
+}
+
 Result<Choice> ChooseTarget(const Fleet& fleet, const Place& place,
                             const PlacementInput& input,
                             RuntimeClock::time_point now) {
--- a/src/fleet/placement.h
+++ b/src/fleet/placement.h
@@ -30,6 +30,9 @@
   /// Version that the runner must answer with.
   std::optional<std::uint64_t> weights_version;
   std::string cache_salt;
+  /// Not to be sent before this time: until then another request reads parts
+  /// that this one shares, and it would read them again.
+  RuntimeClock::time_point send_at;
   /// Tokens that the runner has to read, as predicted.
   std::uint32_t unread_tokens = 0;
   /// Shared tokens that the runner is known to hold.
@@ -57,6 +60,9 @@
 std::vector<std::uint64_t> PartKeys(const platform::CallerRequest& request,
                                     const std::string& salt);
 
+/// Key of one part under a cache salt. @pre none. Thread-safe.
+std::uint64_t PartKey(const std::string& salt, const std::string& part_id);
+
 /// The text under which a runner caches parts: nothing is shared across
 /// weights versions, nor with an isolated account. @pre none. Thread-safe.
 std::string CacheSalt(std::uint64_t version, const Account* account);
--- a/src/fleet/runner_dialect.cc
+++ b/src/fleet/runner_dialect.cc
@@ -13,6 +13,7 @@
 using exchange::Target;
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
+using Millis = std::chrono::duration<double, std::milli>;
 
 constexpr int kMultipleChoices = 300;
 constexpr int kServerErrors = 500;
@@ -25,6 +26,8 @@
 constexpr milliseconds kSignOfLife{1000};
 // A target that takes new weights refuses for about this long.
 constexpr milliseconds kSwitchPause{400};
+// Reading speed of a runner; from the deployments' data sheets.
+constexpr double kTokensPerMs = 40;
 // A full target frees a slot in about this time.
 constexpr milliseconds kFullPause{150};
 
@@ -122,6 +125,7 @@
        {"load", choice_.runner->EstimatedLoad(RuntimeClock::now())},
        {"weights", choice_.weights_version.value_or(0)},
        {"config", routed_.config->version},
+       {"send_delay_ms", duration_cast<milliseconds>(SendDelay()).count()},
        {"time_left_ms", routed_.TimeLeft().count()}});
 }
 
@@ -139,6 +143,11 @@
   return platform::EncodeForTarget(received_, routed_.body, call);
 }
 
+std::chrono::nanoseconds RunnerDialect::SendDelay() const {
+  return std::max(std::chrono::nanoseconds(0),
+                  choice_.send_at - RuntimeClock::now());
+}
+
 net::CallOptions RunnerDialect::Options() const {
   net::CallOptions options;
   options.connect_timeout =
@@ -192,6 +201,9 @@
     // The prompt is read; what follows runs without holding up others.
     runner.own_unread_tokens -= choice_.unread_tokens;
     choice_.unread_tokens = 0;
+    for (const std::uint64_t key : expected_parts_) {
+      runner.cache.MarkReady(key);
+    }
     expected_parts_.clear();
     return {Judgement::Kind::kRelay, {}};
   }
@@ -215,13 +227,18 @@
   expected_parts_.clear();
   if (!routed_.service->engine) return;
   const auto keys = PartKeys(routed_.request, choice_.cache_salt);
+  const auto now = RuntimeClock::now();
+  const auto ready_at =
+      now + duration_cast<milliseconds>(
+                Millis(choice_.runner->UnreadTokens(now) / kTokensPerMs));
   for (std::size_t i = 0; i < keys.size(); ++i) {
     const std::uint32_t tokens = routed_.request.parts[i].tokens;
     if (!choice_.runner->cache.Holds(keys[i])) {
       expected_parts_.push_back(keys[i]);
       peers_.NotePart(*choice_.runner, keys[i], tokens);
     }
-    choice_.runner->cache.Use(keys[i], tokens);
+    choice_.runner->cache.Use(keys[i], tokens, ready_at);
+    fleet_.shared_parts().Use(keys[i], 1);
   }
 }
 
--- a/src/fleet/runner_dialect.h
+++ b/src/fleet/runner_dialect.h
@@ -64,6 +64,7 @@
   RunnerDialect& operator=(const RunnerDialect&) = delete;
 
   Result<exchange::Target> Choose();
+  std::chrono::nanoseconds SendDelay() const;
   net::Request Encode(const exchange::Target& target);
   net::CallOptions Options() const;
   std::chrono::nanoseconds ProgressTimeout() const;
--- a/standins/runner_main.cc
+++ b/standins/runner_main.cc
@@ -11,6 +11,7 @@
 #include "fmt/format.h"
 #include "src/net/http_client.h"
 #include "src/settings/flag_source.h"
+#include "standins/cache_log.h"
 #include "standins/support.h"
 
 ABSL_FLAG(std::string, listen, "127.0.0.1:7300", "address of the target");
@@ -78,6 +79,8 @@
     } else if (path == "/api/report") {
       net::Response answer = JsonAnswer(200, Report());
       co_await exchange.Respond(std::move(answer));
+    } else if (path.starts_with("/api/kv-events?since=")) {
+      co_await TellCacheChanges(exchange, path);
     } else if (path == "/api/order" && faults_.ignore_orders) {
       co_await exchange.WaitForClose();
     } else if (path == "/api/order") {
@@ -101,6 +104,7 @@
           change.value("ignore_orders", faults_.ignore_orders);
       faults_.cut_at = change.value("cut_at", faults_.cut_at);
       state_ = change.value("state", state_);
+      if (change.value("drop_cache", false)) cache_.Drop();
     }
     const json seen{{"runs", runs_},
                     {"last", last_},
@@ -216,7 +220,23 @@
     }
   }
 
+  // Waits for a change as long as the call allows.
+  awaitable<void> TellCacheChanges(net::Exchange& exchange, std::string path) {
+    constexpr milliseconds kPoll{10};
+    const std::uint64_t since = std::stoull(path.substr(path.find('=') + 1));
+    const std::string wait(net::Header(exchange.request(), "Wait-Ms"));
+    const auto limit =
+        RuntimeClock::now() + milliseconds(wait.empty() ? 0 : std::stoi(wait));
+    while (cache_.next() <= since && RuntimeClock::now() < limit) {
+      co_await net::Sleep(kPoll);
+    }
+    net::Response answer = JsonAnswer(200, cache_.Since(since));
+    co_await exchange.Respond(std::move(answer));
+  }
+
   void Remember(const net::Request& request) {
+    cache_.Read(std::string(net::Header(request, "Cache-Salt")),
+                std::string(net::Header(request, "Prompt-Prefix")));
     last_ = json::object();
     last_["method"] = std::string(request.method_string());
     last_["path"] = std::string(net::Target(request));
@@ -272,6 +292,7 @@
   std::map<std::string, int> runs_;
   json last_;
   std::vector<json> orders_;
+  CacheLog cache_{absl::GetFlag(FLAGS_model)};
   std::uint64_t highest_token_ = 0;
   std::uint64_t version_ = 1;
   bool is_loading_ = false;
--- a/tests/src/process-platform.cpp
+++ b/tests/src/process-platform.cpp
@@ -286,6 +286,41 @@
   }));
 }
 
+// A runner that dropped a prompt was taken to hold it, and read it again while
+// another one had it.
+TEST_F(Platform, ADroppedPromptIsCopiedFromTheRunnerThatHoldsIt) {
+  const auto runner_of = [&](const std::string& id) {
+    for (int i = 0; i < PlatformFleet::kRunners; ++i) {
+      if (fleet_.ControlRunner(i, json::object())["runs"].contains(id)) {
+        return i;
+      }
+    }
+    return -1;
+  };
+  EXPECT_EQ(StatusOf(fleet_.Ask(0, "/advice/x", "first")), 200);
+  const int first = runner_of("first");
+  ASSERT_GE(first, 0);
+  fleet_.ControlRunner(first, {{"refuse", true}});
+  EXPECT_EQ(StatusOf(fleet_.Ask(0, "/advice/x", "second")), 200);
+  const int second = runner_of("second");
+  ASSERT_GE(second, 0);
+  // Three parts were read at each.
+  EXPECT_TRUE(Eventually(
+      [&] { return fleet_.Metric(0, "beryllane_cache_changes_total") == 6; }));
+  fleet_.ControlRunner(first, {{"drop_cache", true}});
+  EXPECT_TRUE(Eventually(
+      [&] { return fleet_.Metric(0, "beryllane_cache_changes_total") == 9; }));
+  for (int i = 0; i < PlatformFleet::kRunners; ++i) {
+    fleet_.ControlRunner(i, {{"refuse", i != first}});
+  }
+  EXPECT_TRUE(Eventually(
+      [&] { return StatusOf(fleet_.Ask(0, "/advice/x", "third")) == 200; }));
+  const json seen = fleet_.ControlRunner(first, json::object());
+  EXPECT_TRUE(seen["runs"].contains("third"));
+  EXPECT_EQ(seen["last"]["headers"].value("Kv-Fetch", ""),
+            net::ToString(fleet_.runner_address(second)));
+}
+
 TEST_F(Platform, ADrainingTargetGetsNoNewRequests) {
   for (int i = 1; i < PlatformFleet::kRunners; ++i) {
     fleet_.ControlRunner(i, {{"state", "draining"}});
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -156,6 +156,20 @@
   EXPECT_EQ(goal.Lag(3, now), seconds(0));
 }
 
+TEST(FleetParts, APartIsReadyWhenItsReadingEnds) {
+  PartCache cache;
+  const RuntimeClock::time_point later{seconds(5)};
+  cache.Use(1, 100, later);
+  cache.Use(1, 100, RuntimeClock::time_point{seconds(9)});
+  EXPECT_EQ(cache.ReadyAt(1), later);
+  EXPECT_EQ(cache.TokensOf(1), 100U);
+  cache.MarkReady(1);
+  EXPECT_EQ(cache.ReadyAt(1), RuntimeClock::time_point());
+  cache.Forget(1);
+  EXPECT_FALSE(cache.Holds(1));
+  EXPECT_EQ(cache.TokensOf(1), 0U);
+}
+
 class FleetPlacement : public ::testing::Test {
  protected:
   FleetPlacement() {
@@ -207,6 +221,25 @@
   EXPECT_EQ(choice.value().cache_salt, CacheSalt(7, nullptr));
 }
 
+// The load of several requests for a prompt that nobody has read yet.
+TEST_F(FleetPlacement, ARequestWaitsWhileAnotherReadsTheSameParts) {
+  fleet_.SetTarget(Entry("a", "s", 7));
+  const auto now = RuntimeClock::now();
+  EXPECT_LE(Choose().value().send_at, now);
+  const auto keys = PartKeys(request_, CacheSalt(7, nullptr));
+  PartCache& cache = fleet_.Takers("s")[0]->cache;
+  for (const std::uint64_t key : keys) {
+    cache.Use(key, 400, now + milliseconds(90));
+  }
+  EXPECT_EQ(Choose().value().send_at, now + milliseconds(90));
+  cache.MarkReady(keys[0]);
+  cache.MarkReady(keys[1]);
+  EXPECT_LE(Choose().value().send_at, now);
+  cache.Forget(keys[0]);
+  cache.Use(keys[0], 400, now + seconds(30));
+  EXPECT_LE(Choose().value().send_at, now + seconds(1));
+}
+
 TEST_F(FleetPlacement, SuspectsAreUsedOnlyWhereNoOtherIsLeft) {
   fleet_.SetTarget(Entry("a"));
   fleet_.SetTarget(Entry("b"));
--- a/tests/src/unit-platform_codec.cpp
+++ b/tests/src/unit-platform_codec.cpp
@@ -3,6 +3,7 @@
 #include <rapidcheck/gtest.h>
 
 #include "platform/base64.h"
+#include "platform/cache_codec.h"
 #include "platform/config_codec.h"
 #include "platform/names.h"
 #include "platform/request_codec.h"
@@ -215,6 +216,27 @@
   EXPECT_EQ(net::Target(sent), "/a/b?q=1");
 }
 
+TEST(PlatformCacheChanges, AreDecodedAndWrongOnesAreErrors) {
+  const auto changes = DecodeCacheChanges(
+      R"({"bootEpoch":7,"next":121,"lost":true,"events":)"
+      R"([[119,"+","s1","5c",800,"m"],[120,"-","s1","91",128,"m"]]})");
+  ASSERT_TRUE(changes.ok());
+  EXPECT_EQ(changes.value().incarnation, 7);
+  EXPECT_EQ(changes.value().next, 121U);
+  EXPECT_TRUE(changes.value().has_gap);
+  ASSERT_EQ(changes.value().changes.size(), 2U);
+  EXPECT_TRUE(changes.value().changes[0].is_gain);
+  EXPECT_EQ(changes.value().changes[0].salt, "s1");
+  EXPECT_EQ(changes.value().changes[1].part_id, "91");
+  EXPECT_EQ(changes.value().changes[1].held_tokens, 128U);
+  for (const char* wrong :
+       {"", "[]", R"({"next":1})", R"({"next":"x","events":[]})",
+        R"({"next":1,"events":[[1,"+"]]})",
+        R"({"next":1,"events":[[1,"+","s","p","many","m"]]})"}) {
+    EXPECT_FALSE(DecodeCacheChanges(wrong).ok()) << wrong;
+  }
+}
+
 TEST(PlatformAnswers, ProofsAndLoadsAreDecoded) {
   net::Response response = net::MakeResponse(503, "", "text/plain");
   response.set("Not-Executed", "1");
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -69,6 +69,8 @@
   Process& router(int i) { return routers_[i]; }
   Process& runner(int i) { return runners_[i]; }
   const net::Address& router_address(int i) const { return router_ports_[i]; }
+  /// Where a model runner listens. @pre `i` < kRunners.
+  const net::Address& runner_address(int i) const { return runner_ports_[i]; }
   /// What a router logged. @pre none.
   std::string LogOf(int router) const;
 
