Count a home's price by a share; copy parts from runners that refused

Cause: the home of a prompt was taken to hold it at any time, also when the runners' own changes showed that it does not and who does. Its price now counts by 0.3; where nobody holds any of the prompt it counts as before.

Test: FleetPlacement.PartsAreCopiedFromARunnerThatRefused, seen failing.

--- a/include/beryllane/placement/prefix_policy.h
+++ b/include/beryllane/placement/prefix_policy.h
@@ -31,6 +31,8 @@
   std::uint32_t region = 0;
   /// Price of answering on older weights.
   std::chrono::duration<double, std::milli> stale_penalty{};
+  /// Whether it may be chosen. One that may not is a source of copies only.
+  bool is_eligible = true;
 };
 
 /// The request's prompt.
@@ -53,6 +55,9 @@
   /// Price of copying a thousand shared tokens: the copy takes memory in which
   /// another part would be found again.
   double copy_ms_per_thousand = 70;
+  /// Share of the price of reading or copying that counts at the home: routers
+  /// that know of no holder send there, so what it gets serves them all.
+  double home_share = 0.3;
   /// Price of a request that crosses a region: its bytes are billed.
   double other_region_ms = 45;
   double same_region_ms = 2;
@@ -70,8 +75,9 @@
 };
 
 /// Chooses the candidate with the lowest price. The first candidate by
-/// rendezvous hashing is the home of the deepest shared part: all routers send
-/// it there, so it is taken to hold the part. @pre `candidates` is not empty.
+/// rendezvous hashing is the home of the deepest shared part. Where nobody is
+/// known to hold any of the prompt, all routers send it there, so the home is
+/// taken to hold it. @pre one of `candidates` is eligible.
 /// Thread-safe. Complexity: n squared.
 PrefixDecision ChooseByPrefix(const std::vector<PrefixCandidate>& candidates,
                               const PrefixQuery& query,
--- a/src/coordination/prefix_policy.cc
+++ b/src/coordination/prefix_policy.cc
@@ -37,14 +37,19 @@
     return Score(query.home_key, candidates[a].id_hash) >
            Score(query.home_key, candidates[b].id_hash);
   });
+  std::uint32_t most_held = 0;
+  for (const auto& candidate : candidates)
+    most_held = std::max(most_held, candidate.held_tokens);
   const auto assumed_held = [&](std::size_t rank) {
     const PrefixCandidate& candidate = candidates[ranked[rank]];
-    return rank == 0 ? query.shared_tokens : candidate.held_tokens;
+    return rank == 0 && most_held == 0 ? query.shared_tokens
+                                       : candidate.held_tokens;
   };
   PrefixDecision best;
   bool has_best = false;
   for (std::size_t rank = 0; rank < ranked.size(); ++rank) {
     const PrefixCandidate& candidate = candidates[ranked[rank]];
+    if (!candidate.is_eligible) continue;
     double price = candidate.wait.count() + candidate.stale_penalty.count() +
                    weights.rank_ms * static_cast<double>(rank);
     if (candidate.distance == Distance::kOtherRegion) {
@@ -87,7 +92,8 @@
                     std::max(0.0, query.shared_tokens - source_held) /
                         weights.tokens_per_ms
               : read_price;
-      price += std::min(read_price, copy_price);
+      const double share = rank == 0 ? weights.home_share : 1;
+      price += share * std::min(read_price, copy_price);
     }
     if (has_best && price >= best.price.count()) continue;
     has_best = true;
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -60,6 +60,23 @@
   return healthy.empty() ? doubtful : healthy;
 }
 
+// Targets that were tried and can be copied from all the same: most refuse
+// because they are full.
+std::vector<std::shared_ptr<Runner>> TriedSources(
+    const Fleet& fleet, const PlacementInput& input, std::uint64_t version,
+    RuntimeClock::time_point now) {
+  std::vector<std::shared_ptr<Runner>> sources;
+  for (auto& runner : fleet.Takers(input.service.name)) {
+    const auto& tried = input.tried;
+    const bool was_tried =
+        std::find(tried.begin(), tried.end(), runner->entry.id) != tried.end();
+    const bool is_source = was_tried && runner->suspect_until <= now &&
+                           runner->VersionOf(input.request.model) == version;
+    if (is_source) sources.push_back(std::move(runner));
+  }
+  return sources;
+}
+
 Choice ChooseForService(const std::vector<std::shared_ptr<Runner>>& runners,
                         const Place& place, RuntimeClock::time_point now) {
   Choice best;
@@ -102,8 +119,12 @@
 
 Choice ChooseForEngine(const Fleet& fleet, const Place& place,
                        const PlacementInput& input,
-                       const std::vector<std::shared_ptr<Runner>>& runners,
+                       std::vector<std::shared_ptr<Runner>> runners,
                        std::uint64_t version, RuntimeClock::time_point now) {
+  const std::size_t eligible = runners.size();
+  for (auto& source : TriedSources(fleet, input, version, now)) {
+    runners.push_back(std::move(source));
+  }
   const PromptView view = ViewOf(input, version);
   const auto& parts = input.request.parts;
   const WeightsGoal goal = fleet.GoalOf(input.request.model);
@@ -131,6 +152,7 @@
     candidate.zone = ShortHash(runner->entry.availability_zone);
     candidate.region =
         ShortHash(RegionOf(place, runner->entry.availability_zone));
+    candidate.is_eligible = candidates.size() < eligible;
     if (lag > kFreeLag) candidate.stale_penalty = kStalePenalty;
     candidates.push_back(candidate);
   }
@@ -149,7 +171,7 @@
                              ? input.request.prompt_tokens - held
                              : 0;
   choice.price_ms = decision.price.count();
-  choice.candidates = candidates.size();
+  choice.candidates = eligible;
   for (const std::uint64_t key : view.keys) {
     const PartCache& cache = choice.runner->cache;
     const bool is_copied = !cache.Holds(key) && decision.fetch_from;
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -240,6 +240,19 @@
   EXPECT_LE(Choose().value().send_at, now + seconds(1));
 }
 
+// A runner that refused because it was full was not asked for its parts.
+TEST_F(FleetPlacement, PartsAreCopiedFromARunnerThatRefused) {
+  fleet_.SetTarget(Entry("a", "s", 7));
+  fleet_.SetTarget(Entry("b", "s", 7));
+  const auto keys = PartKeys(request_, CacheSalt(7, nullptr));
+  const auto a = fleet_.targets().at("a");
+  for (const std::uint64_t key : keys) a->cache.Use(key, 400);
+  tried_.emplace_back("a");
+  const auto choice = Choose();
+  EXPECT_EQ(choice.value().runner->entry.id, "b");
+  EXPECT_EQ(choice.value().fetch_from, a->entry.address);
+}
+
 TEST_F(FleetPlacement, SuspectsAreUsedOnlyWhereNoOtherIsLeft) {
   fleet_.SetTarget(Entry("a"));
   fleet_.SetTarget(Entry("b"));
