Look at the lease in turn, and read the list of targets every 0.7 s

Six readers make some 24 calls a second; the rest came from all 23 routers reading the lease each second while weights were behind. Routers now look at it only once no order of another was heard for 1.5 s, 150 ms apart by their rank. Readers read the targets every 0.7 s instead of 0.4 s; the bound for a leaving target is 2.5 s.

--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -210,6 +210,7 @@
   const auto now = RuntimeClock::now();
   try {
     for (const json& order : body.value(kOrders, json::array())) {
+      order_heard_at_ = now;
       Runner* runner = find(order.at(0));
       if (runner == nullptr) continue;
       const bool is_in_place = order.at(3).get<bool>();
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -38,6 +38,8 @@
   /// Place of this router among those that were heard lately, from 0; each of
   /// them mostly comes to another place. @pre none.
   std::size_t Rank() const;
+  /// When another router last told of an order to a target. @pre none.
+  RuntimeClock::time_point order_heard_at() const { return order_heard_at_; }
   /// Whether this router follows a target's cache for all: one of the target's
   /// zone does, or one of all where the zone has none. @pre none.
   bool IsKeeperOf(const Runner& runner) const;
@@ -101,6 +103,7 @@
   std::set<std::string> known_hosts_;
   std::map<std::string, Router> heard_;
   RuntimeClock::time_point sent_at_;
+  RuntimeClock::time_point order_heard_at_;
   wire::PeerBus bus_;
   std::vector<PartHint> new_parts_;
   std::map<std::uint64_t, std::pair<int, std::uint64_t>> sent_loads_;
--- a/src/fleet/store_follower.cc
+++ b/src/fleet/store_follower.cc
@@ -17,8 +17,11 @@
 // Time that a read of the operator's records waits for a change. Its empty
 // answer is what proves freshness, so it is well under the revocation bound.
 constexpr milliseconds kOperatorWait{700};
-// Targets write about once a second each; a change is seen at this pace.
-constexpr milliseconds kTargetPace{400};
+// Targets write about once a second each; a reader sees changes at this pace,
+// well under the time in which a leaving target must get no more requests.
+constexpr milliseconds kTargetPace{700};
+// Pace of the calls to the reader of the zone, which cost nothing.
+constexpr milliseconds kRelayPace{400};
 constexpr milliseconds kRetryPause{150};
 // A reader answers from memory, within the zone.
 constexpr milliseconds kRelayPatience{300};
@@ -142,7 +145,8 @@
       targets_failing_since_.reset();
     }
     RemoveDueTargets();
-    co_await net::Sleep(ok ? kTargetPace : kRetryPause);
+    const milliseconds pace = is_relayed ? kRelayPace : kTargetPace;
+    co_await net::Sleep(ok ? pace : kRetryPause);
   }
 }
 
--- a/src/fleet/weights_rollout.cc
+++ b/src/fleet/weights_rollout.cc
@@ -26,7 +26,9 @@
 // The last holder takes the lease anew at once; others follow in turn, so that
 // mostly one of them calls the store.
 constexpr milliseconds kTurn{150};
-constexpr std::size_t kMostTurns = 6;
+// Without an order of another router for this long, its lease is looked at.
+// Orders to all targets that may load at once are seldom further apart.
+constexpr milliseconds kOrderSilence{1500};
 // How often a waiting host looks whether the holder still renews.
 constexpr milliseconds kLeaseReadPace{1000};
 constexpr milliseconds kRenewAfter{500};
@@ -102,13 +104,14 @@
 
 awaitable<void> WeightsRollout::TakeLease() {
   const auto now = RuntimeClock::now();
+  const auto idle_since =
+      std::max(work_since_, peers_.order_heard_at() + kOrderSilence);
+  const bool is_last = lease_.last_holder() == host_id_;
+  if (!is_last && now - idle_since < kTurn * peers_.Rank()) co_return;
   if (!has_read_lease_ || now - lease_read_at_ > kLeaseReadPace) {
     co_await ReadLease();
     if (!has_read_lease_) co_return;
   }
-  const bool is_last = lease_.last_holder() == host_id_;
-  const auto turn = kTurn * std::min(peers_.Rank(), kMostTurns);
-  if (!is_last && RuntimeClock::now() - work_since_ < turn) co_return;
   if (!lease_.MayAppend(BootClock::now())) co_return;
   co_await Renew();
 }
