Pace messages between routers by the number of routers

The index is kept now, and a router sends a batch each 10 ms for each router that it heard, 0.2 s at least and 0.7 s at most, so that what one router receives stays the same.

--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -18,7 +18,7 @@
 constexpr double kReportHalfLifeMs = 400;
 // What a peer told of its requests holds until it tells anew, and no longer.
 constexpr milliseconds kPeerLoadLife{3000};
-constexpr milliseconds kPeerUnreadLife{500};
+constexpr milliseconds kPeerUnreadLife{1000};
 // The list is behind what answers and orders show by a beat, its delay and the
 // pace of reading; after that it is right, and a belief that it does not share
 // came from a hint about an earlier incarnation.
@@ -114,12 +114,14 @@
     }
   }
   runner->entry = std::move(entry);
+  by_hash_[runner->id_hash] = runner;
 }
 
 void Fleet::RemoveTarget(const std::string& id) {
   const auto it = targets_.find(id);
   if (it == targets_.end()) return;
   it->second->entry.is_draining = true;
+  by_hash_.erase(it->second->id_hash);
   targets_.erase(it);
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "beryllane/clock/boot_clock.h"
@@ -112,6 +113,11 @@
   const std::map<std::string, std::shared_ptr<Runner>>& targets() const {
     return targets_;
   }
+  /// The target whose id has a hash; null where there is none. @pre none.
+  Runner* FindByHash(std::uint64_t id_hash) const {
+    const auto it = by_hash_.find(id_hash);
+    return it == by_hash_.end() ? nullptr : it->second.get();
+  }
   /// Targets of a service that take new requests. @pre none.
   std::vector<std::shared_ptr<Runner>> Takers(const std::string& service) const;
 
@@ -134,6 +140,7 @@
  private:
   std::shared_ptr<const FleetConfig> config_;
   std::map<std::string, std::shared_ptr<Runner>> targets_;
+  std::unordered_map<std::uint64_t, std::shared_ptr<Runner>> by_hash_;
   std::map<std::string, WeightsGoal> goals_;
   std::map<std::string, RetryWindow> budgets_;
   PartCache shared_parts_;
--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -17,6 +17,11 @@
 
 // Loads change within a request's time; faster batches gain little.
 constexpr milliseconds kBatchPace{200};
+// In larger fleets a batch for each router that sends to this one, so that some
+// hundred messages a second are received; kept under `kLife`.
+constexpr milliseconds kBatchPacePerRouter{10};
+constexpr milliseconds kSlowestBatchPace{700};
+constexpr milliseconds kPartPacePerRouter{2};
 // A prompt is read within some hundred milliseconds; requests for the same
 // parts must hear of it before.
 constexpr milliseconds kPartPace{20};
@@ -59,8 +64,12 @@
     co_await net::Sleep(kRegisterPause);
   }
   for (;;) {
-    co_await net::Sleep(kPartPace);
-    const bool is_due = RuntimeClock::now() - sent_at_ >= kBatchPace;
+    // What a router receives stays the same however many send.
+    const auto routers = static_cast<int>(heard_.size());
+    co_await net::Sleep(std::max(kPartPace, routers * kPartPacePerRouter));
+    const auto pace = std::clamp(routers * kBatchPacePerRouter, kBatchPace,
+                                 kSlowestBatchPace);
+    const bool is_due = RuntimeClock::now() - sent_at_ >= pace;
     if (is_due || !new_parts_.empty()) SendBatch();
   }
 }
@@ -199,13 +208,8 @@
 void Peers::Receive(const std::string& message) {
   const json body = json::from_msgpack(message, true, false);
   if (!body.is_object()) return;
-  std::map<std::uint64_t, Runner*> by_hash;
-  for (const auto& [id, runner] : fleet_.targets()) {
-    by_hash[runner->id_hash] = runner.get();
-  }
-  const auto find = [&by_hash](const json& hash) -> Runner* {
-    const auto it = by_hash.find(hash.get<std::uint64_t>());
-    return it == by_hash.end() ? nullptr : it->second;
+  const auto find = [this](const json& hash) {
+    return fleet_.FindByHash(hash.get<std::uint64_t>());
   };
   const auto now = RuntimeClock::now();
   try {
