Explain a request from collected logs; send requests' ranks to runners

beryllanectl explain ID LOG... prints a request's lines, what its router noted of its targets and of itself shortly before and meanwhile, and the cause.

Requests to runners carry their account's or route's priority as rank.

--- a/apps/beryllanectl.cc
+++ b/apps/beryllanectl.cc
@@ -39,6 +39,7 @@
     "  config exceptions            list exceptions and their reasons\n"
     "  status                       state of --routers\n"
     "  explain FILE                 where a request would go, and why\n"
+    "  explain ID LOG...            what logs tell of a request\n"
     "  drain                        stop the router of --routers gracefully\n\n"
     "Exit codes: 0 done, 1 the answer is no, 2 wrong use, 3 unreachable.\n\n";
 
--- a/src/ctl/fleet_commands.cc
+++ b/src/ctl/fleet_commands.cc
@@ -1,8 +1,10 @@
 // The status, explain and drain commands of beryllanectl.
 #include <cstdio>
+#include <fstream>
 
 #include "fmt/format.h"
 #include "src/ctl/context.h"
+#include "src/ctl/log_explain.h"
 
 namespace beryllane::ctl {
 namespace {
@@ -57,7 +59,34 @@
   co_return code;
 }
 
+// Prints what logs tell of one request.
+int ExplainFromLogs(const Words& words, bool as_json) {
+  LogCollection logs;
+  for (std::size_t i = 1; i < words.size(); ++i) {
+    std::ifstream in(words[i]);
+    if (!in) {
+      std::fputs(fmt::format("{} cannot be read\n", words[i]).c_str(), stderr);
+      return kUsage;
+    }
+    logs.Read(in);
+  }
+  if (logs.unreadable() > 0) {
+    std::fputs(fmt::format("{} lines are no JSON and were skipped\n",
+                           logs.unreadable())
+                   .c_str(),
+               stderr);
+  }
+  const auto lines = logs.LinesAbout(words[0]);
+  const std::string text =
+      as_json ? json(lines).dump(2) + "\n" : ExplainLines(words[0], lines);
+  std::fputs(text.c_str(), stdout);
+  return lines.empty() ? kNegative : kOk;
+}
+
 awaitable<int> Explain(Context& context, Words words) {
+  if (words.size() > 1) {
+    co_return ExplainFromLogs(words, context.options.as_json);
+  }
   if (words.size() != 1 || context.options.account.empty() ||
       context.options.routers.empty()) {
     std::fputs(
--- a/src/fleet/runner_dialect.cc
+++ b/src/fleet/runner_dialect.cc
@@ -31,6 +31,15 @@
 // A full target frees a slot in about this time.
 constexpr milliseconds kFullPause{150};
 
+// Rank of a request at its runner, from 0, the first. What is not urgent keeps
+// its place before what states no rank.
+int UrgencyOf(const Route& route, const Account* account) {
+  constexpr int kLast = 4;
+  const bool has_own = account != nullptr && account->priority.has_value();
+  const int priority = has_own ? *account->priority : route.priority;
+  return std::clamp(priority, 0, kLast);
+}
+
 }  // namespace
 
 FleetMetrics::FleetMetrics(MetricRegistry& registry)
@@ -137,6 +146,7 @@
   if (routed_.service->engine) {
     call.weights_version = choice_.weights_version;
     call.cache_salt = choice_.cache_salt;
+    call.urgency = UrgencyOf(*routed_.route, routed_.account);
     call.fetch_from = choice_.fetch_from;
   }
   if (relay_) call.last_event_id = relay_->last_id();
--- a/tests/src/process-platform.cpp
+++ b/tests/src/process-platform.cpp
@@ -107,6 +107,18 @@
   }
 }
 
+TEST_F(Platform, ARunnerLearnsTheRanksOfItsRequests) {
+  fleet_.Ask(0, "/advice/x", "r1", {{"Request-Urgency", "0"}});
+  int seen = 0;
+  for (int i = 0; i < PlatformFleet::kRunners; ++i) {
+    const json runner = fleet_.ControlRunner(i, json::object());
+    if (!runner["runs"].contains("r1")) continue;
+    ++seen;
+    EXPECT_EQ(runner["last"]["headers"]["Request-Urgency"], "1");
+  }
+  EXPECT_EQ(seen, 1);
+}
+
 TEST_F(Platform, ACallWhoseAnswerIsLostIsNotRepeated) {
   SetAllDesks({{"lose_answers", true}});
   const auto answer = fleet_.Send(0, "/book/x", "r1");
