Test the drain of long streams, unread callers' leaving, and the budget

Each mechanism of docs/PROOF.md was taken out again. Four were not noticed by any of 78 tests: waiting for running requests at a stop (the test's streams end before the balancer notices), the close of a caller to which nothing is being written, the retry budget of the request path, and the expected version sent to runners. Each has a test now; the stand-in of a runner takes the time between events from its control port.

--- a/standins/runner_main.cc
+++ b/standins/runner_main.cc
@@ -48,6 +48,8 @@
   bool silent = false;
   // Orders are neither answered nor carried out.
   bool ignore_orders = false;
+  // Time between the events of a stream.
+  milliseconds step{0};
   // Streams break off within the event of this number; negative is never.
   int cut_at = -1;
 };
@@ -58,7 +60,9 @@
       : context_(context),
         client_(context),
         id_(absl::GetFlag(FLAGS_id)),
-        born_(RuntimeClock::WallNow().time_since_epoch().count()) {}
+        born_(RuntimeClock::WallNow().time_since_epoch().count()) {
+    faults_.step = milliseconds(absl::GetFlag(FLAGS_step_ms));
+  }
 
   void Start() {
     net::asio::co_spawn(context_, Register(), net::asio::detached);
@@ -103,6 +107,8 @@
       faults_.ignore_orders =
           change.value("ignore_orders", faults_.ignore_orders);
       faults_.cut_at = change.value("cut_at", faults_.cut_at);
+      faults_.step = milliseconds(
+          change.value("step_ms", std::int64_t{faults_.step.count()}));
       state_ = change.value("state", state_);
       if (change.value("drop_cache", false)) cache_.Drop();
     }
@@ -271,7 +277,7 @@
     const std::string last(net::Header(exchange.request(), "Last-Event-Id"));
     const int from = last.empty() ? 1 : std::stoi(last) + 1;
     for (int i = from; i <= absl::GetFlag(FLAGS_events); ++i) {
-      co_await net::Sleep(milliseconds(absl::GetFlag(FLAGS_step_ms)));
+      co_await net::Sleep(faults_.step);
       const std::string event = fmt::format("id: {}\ndata: word {}\n\n", i, i);
       if (i == faults_.cut_at) {
         co_await exchange.Write(event.substr(0, event.size() / 2));
--- a/tests/src/process-platform.cpp
+++ b/tests/src/process-platform.cpp
@@ -378,6 +378,45 @@
   EXPECT_EQ(fleet_.router(0).Wait(), 0);
 }
 
+// A stream that lasts longer than the balancer takes to notice.
+TEST_F(Platform, AGracefulStopWaitsForALongStream) {
+  SetAllRunners({{"step_ms", 220}});
+  auto running = std::async(std::launch::async,
+                            [&] { return fleet_.Ask(0, "/chat/x", "long"); });
+  EXPECT_TRUE(Eventually([&] { return fleet_.RunsOf("long") > 0; }));
+  fleet_.router(0).Signal(SIGTERM);
+  const auto answer = running.get();
+  ASSERT_TRUE(answer.ok());
+  EXPECT_EQ(answer.value().body(), WholeStream());
+  EXPECT_EQ(fleet_.router(0).Wait(), 0);
+}
+
+TEST_F(Platform, RepeatsStayWithinTheBudget) {
+  constexpr int kRequests = 60;
+  constexpr int kSlack = 10;
+  constexpr double kRatio = 0.2;
+  std::string settings = fleet_.SettingsOf(0);
+  const std::string name = "retryBudgetSlack = ";
+  const std::size_t at = settings.find(name) + name.size();
+  settings.replace(at, settings.find('\n', at) - at, std::to_string(kSlack));
+  fleet_.WriteSettings(0, settings);
+  fleet_.router(0).Signal(SIGHUP);
+  EXPECT_TRUE(Eventually([&] {
+    return fleet_.LogOf(0).find("\"event\":\"reloaded\"") != std::string::npos;
+  }));
+  // The share of the budget is computed anew four times a second.
+  std::this_thread::sleep_for(milliseconds(600));
+  SetAllDesks({{"fail", true}});
+  int runs = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    EXPECT_EQ(StatusOf(fleet_.Send(0, "/book/stock/x", id)), 500);
+    runs += fleet_.RunsOf(id);
+  }
+  EXPECT_GT(runs, kRequests);
+  EXPECT_LE(runs, kRequests + kRatio * kRequests + kSlack);
+}
+
 TEST_F(Platform, ASettingsFileThatBecameUnreadableIsNotTaken) {
   fleet_.WriteSettings(0, "node = \"router-0\"\nip = ");
   fleet_.router(0).Signal(SIGHUP);
@@ -448,6 +487,26 @@
   }));
 }
 
+// Nothing is written to the caller, so only its close shows that it left.
+TEST_F(Platform, ACallerThatGoesBeforeTheFirstEventStopsTheRunner) {
+  SetAllRunners({{"step_ms", 600000}});
+  CallRaw(fleet_.router_address(0),
+          "POST /chat/x HTTP/1.1\r\nHost: shop.example\r\nCredential: "
+          "key-of-workshop\r\nAttempt-Id: gone\r\nModel: m1\r\nToken-Usage: "
+          "10,20\r\nPrompt-Prefix: a:5,b:5\r\nContent-Length: 0\r\n\r\n",
+          milliseconds(300));
+  EXPECT_TRUE(Eventually([&] {
+    return fleet_.Metric(0, "beryllane_fleet_caller_gone_total") == 1;
+  }));
+  EXPECT_TRUE(Eventually([&] {
+    int running = 0;
+    for (int i = 0; i < PlatformFleet::kRunners; ++i) {
+      running += fleet_.ControlRunner(i, json::object()).value("running", 1);
+    }
+    return running == 0;
+  }));
+}
+
 class PlatformRollout : public ::testing::Test {
  protected:
   bool AllHave(int version) const {
--- a/tests/src/unit-platform_codec.cpp
+++ b/tests/src/unit-platform_codec.cpp
@@ -208,6 +208,12 @@
   for (const auto& field : sent) {
     EXPECT_NE(field.value(), "of the caller") << field.name_string();
   }
+  EXPECT_EQ(net::Header(sent, "Expect-Version"), "");
+  call.weights_version = 7;
+  call.cache_salt = "v7";
+  const net::Request to_engine = EncodeForTarget(received, "body", call);
+  EXPECT_EQ(net::Header(to_engine, "Expect-Version"), "7");
+  EXPECT_EQ(net::Header(to_engine, "Cache-Salt"), "v7");
   EXPECT_EQ(net::Header(sent, "Tenant"), "t1");
   EXPECT_EQ(net::Header(sent, "Expect-Instance"), "i-1");
   EXPECT_EQ(net::Header(sent, "Deadline-Ms"), "700");
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -117,22 +117,24 @@
       fmt::format("{}/runner-{}.log", directory_, i));
 }
 
+std::string PlatformFleet::SettingsOf(int i) const {
+  return fmt::format(
+      "node = \"router-{}\"\nip = \"{}\"\nzone = \"{}\"\nregion = \"{}\"\n"
+      "unknownField = 7\ninternalPortRange = [{},{}]\n"
+      "heartbeatIntervalMs = 150\n"
+      "[zones]\nzone-a = \"r1\"\nzone-b = \"r1\"\nzone-c = \"r2\"\n"
+      "[listen]\nfront = \"{}\"\nready = \"{}\"\n"
+      "[bounds]\nrevokeMs = 3000\nstrictRevocation = true\nleaseMs = 1000\n"
+      "graceS = 8\nretryBudgetSlack = 200\n"
+      "[platform]\naddress = \"{}\"\n",
+      i, router_ports_[i].ip, kZones[i % 3], i % 3 == 2 ? "r2" : "r1",
+      peer_ports_[i].port, peer_ports_[i].port + 1,
+      net::ToString(router_ports_[i]), net::ToString(ready_ports_[i]),
+      net::ToString(store_address_));
+}
+
 void PlatformFleet::StartRouter(int i) {
-  WriteSettings(
-      i,
-      fmt::format(
-          "node = \"router-{}\"\nip = \"{}\"\nzone = \"{}\"\nregion = \"{}\"\n"
-          "unknownField = 7\ninternalPortRange = [{},{}]\n"
-          "heartbeatIntervalMs = 150\n"
-          "[zones]\nzone-a = \"r1\"\nzone-b = \"r1\"\nzone-c = \"r2\"\n"
-          "[listen]\nfront = \"{}\"\nready = \"{}\"\n"
-          "[bounds]\nrevokeMs = 3000\nstrictRevocation = true\nleaseMs = 1000\n"
-          "graceS = 8\nretryBudgetSlack = 200\n"
-          "[platform]\naddress = \"{}\"\n",
-          i, router_ports_[i].ip, kZones[i % 3], i % 3 == 2 ? "r2" : "r1",
-          peer_ports_[i].port, peer_ports_[i].port + 1,
-          net::ToString(router_ports_[i]), net::ToString(ready_ports_[i]),
-          net::ToString(store_address_)));
+  WriteSettings(i, SettingsOf(i));
   routers_[i] =
       Process(BERYLLANE_ROUTER,
               {"--platform", "--platform_settings",
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -62,6 +62,8 @@
   void StartRouter(int i);
   /// Starts a model runner again under its id. @pre it was ended.
   void StartRunner(int i);
+  /// The settings that a router starts with. @pre none.
+  std::string SettingsOf(int i) const;
   /// Replaces a router's settings file. @pre none.
   void WriteSettings(int i, const std::string& text) const;
   bool WaitReady(int i) const;
