--- a/include/beryllane/placement/prefix_policy.h
+++ b/include/beryllane/placement/prefix_policy.h
@@ -54,7 +54,7 @@
   double reread_ms_per_thousand = 200;
   /// Price of copying a thousand shared tokens: the copy takes memory in which
   /// another part would be found again.
-  double copy_ms_per_thousand = 70;
+  double copy_ms_per_thousand = 110;
   /// Share of the price of reading or copying that counts at the home: routers
   /// that know of no holder send there, so what it gets serves them all.
   double home_share = 0.3;
--- a/src/fleet/weights_rollout.cc
+++ b/src/fleet/weights_rollout.cc
@@ -177,7 +177,7 @@
     state.is_switching = under_way_.contains(id);
     state.is_usable =
         runner->suspect_until <= now && !paused_until_.contains(id);
-    state.running = runner->own_running;
+    state.running = static_cast<int>(runner->EstimatedLoad(now));
     states.push_back(state);
   }
   const rollout::Limits limits{
