--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -72,6 +72,21 @@
   EXPECT_EQ(fleet.Takers("s").size(), 1U);
 }
 
+// Taking the beat's number out went unnoticed: only weights show it, once the
+// list has caught up.
+TEST(FleetState, AnOlderBeatDoesNotLowerTheWeights) {
+  const PausedClock paused;
+  Fleet fleet;
+  TargetEntry entry = Entry("i", "s", 3);
+  entry.beat = 7;
+  fleet.SetTarget(entry);
+  RuntimeClock::Advance(seconds(20));
+  entry.beat = 6;
+  entry.weights["m"] = 2;
+  fleet.SetTarget(entry);
+  EXPECT_EQ(fleet.Takers("s")[0]->VersionOf("m"), 3U);
+}
+
 TEST(FleetState, ANewIncarnationHasAnEmptyCache) {
   Fleet fleet;
   TargetEntry entry = Entry("i");
