--- a/src/coordination/prefix_policy.cc
+++ b/src/coordination/prefix_policy.cc
@@ -38,8 +38,9 @@
            Score(query.home_key, candidates[b].id_hash);
   });
   std::uint32_t most_held = 0;
-  for (const auto& candidate : candidates)
+  for (const auto& candidate : candidates) {
     most_held = std::max(most_held, candidate.held_tokens);
+  }
   const auto assumed_held = [&](std::size_t rank) {
     const PrefixCandidate& candidate = candidates[ranked[rank]];
     return rank == 0 && most_held == 0 ? query.shared_tokens
