Keep one record of each router that was heard, and one reading speed

Neighbours and other routers were kept in two maps with the same times, and the reading speed of runners stood in three places. No change of behaviour.

--- a/include/beryllane/placement/prefix_policy.h
+++ b/include/beryllane/placement/prefix_policy.h
@@ -15,6 +15,10 @@
 
 namespace beryllane::placement {
 
+/// Tokens of prompts that a runner reads in a millisecond; from the
+/// deployments' data sheets.
+inline constexpr double kReadTokensPerMs = 40;
+
 /// How far two places lie apart.
 enum class Distance { kSameZone, kSameRegion, kOtherRegion };
 
@@ -48,8 +52,7 @@
 /// Weights of the decision. Prices are expressed as the wait that is worth as
 /// much.
 struct PrefixWeights {
-  /// Reading speed of a runner; from the deployments' data sheets.
-  double tokens_per_ms = 40;
+  double tokens_per_ms = kReadTokensPerMs;
   /// Price of reading a thousand shared tokens that another runner holds.
   double reread_ms_per_thousand = 200;
   /// Price of copying a thousand shared tokens: the copy takes memory in which
--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "beryllane/placement/prefix_policy.h"
 #include "beryllane/placement/rendezvous.h"
 #include "src/telemetry/log.h"
 
@@ -33,9 +34,6 @@
 // A target takes new weights for about this long.
 constexpr milliseconds kSwitchTime{900};
 
-// Reading speed of a runner; from the deployments' data sheets.
-constexpr std::uint32_t kTokensPerMs = 40;
-
 // Fields of a batch; short, because each message goes to every peer.
 constexpr const char* kSender = "h";
 constexpr const char* kLoads = "l";
@@ -65,7 +63,7 @@
   }
   for (;;) {
     // What a router receives stays the same however many send.
-    const auto routers = static_cast<int>(heard_.size());
+    const auto routers = static_cast<int>(routers_.size());
     co_await net::Sleep(std::max(kPartPace, routers * kPartPacePerRouter));
     const auto pace = std::clamp(routers * kBatchPacePerRouter, kBatchPace,
                                  kSlowestBatchPace);
@@ -106,13 +104,13 @@
 
 std::optional<std::string> Peers::Reader() const {
   const auto now = RuntimeClock::now();
-  const Neighbour* reader = nullptr;
-  for (const auto& [host, neighbour] : neighbours_) {
+  const Router* reader = nullptr;
+  for (const auto& [host, router] : routers_) {
     const bool is_usable =
-        now - neighbour.heard_at < kLife && neighbour.distrusted_until <= now;
-    const bool is_earlier =
-        reader == nullptr || neighbour.order < reader->order;
-    if (is_usable && is_earlier) reader = &neighbour;
+        router.availability_zone == self_.availability_zone &&
+        router.IsAlive(now) && router.distrusted_until <= now;
+    const bool is_earlier = reader == nullptr || router.order < reader->order;
+    if (is_usable && is_earlier) reader = &router;
   }
   const bool is_self = reader == nullptr || !order_ || *order_ < reader->order;
   if (is_self) return std::nullopt;
@@ -122,7 +120,7 @@
 std::size_t Peers::Rank() const {
   const auto now = RuntimeClock::now();
   return static_cast<std::size_t>(
-      std::count_if(heard_.begin(), heard_.end(), [&](const auto& router) {
+      std::count_if(routers_.begin(), routers_.end(), [&](const auto& router) {
         return router.first < self_.host_id && router.second.IsAlive(now);
       }));
 }
@@ -136,21 +134,23 @@
   };
   const bool is_self_near = zone == self_.availability_zone;
   const bool has_near =
-      is_self_near || std::any_of(heard_.begin(), heard_.end(), is_near);
+      is_self_near || std::any_of(routers_.begin(), routers_.end(), is_near);
   if (has_near && !is_self_near) return false;
   const Hash128 key = HashBytes(runner.entry.id);
   const std::uint64_t own = placement::Score(key, HashBytes(self_.host_id).low);
-  return std::none_of(heard_.begin(), heard_.end(), [&](const auto& router) {
-    const bool is_rival =
-        has_near ? is_near(router) : router.second.IsAlive(now);
-    return is_rival && placement::Score(key, HashBytes(router.first).low) > own;
-  });
+  return std::none_of(
+      routers_.begin(), routers_.end(), [&](const auto& router) {
+        const bool is_rival =
+            has_near ? is_near(router) : router.second.IsAlive(now);
+        return is_rival &&
+               placement::Score(key, HashBytes(router.first).low) > own;
+      });
 }
 
 void Peers::Distrust(const std::string& reader) {
-  for (auto& [host, neighbour] : neighbours_) {
-    if (neighbour.relay_address == reader) {
-      neighbour.distrusted_until = RuntimeClock::now() + kDistrust;
+  for (auto& [host, router] : routers_) {
+    if (router.relay_address == reader) {
+      router.distrusted_until = RuntimeClock::now() + kDistrust;
     }
   }
 }
@@ -229,13 +229,11 @@
     const json& from = body.at(kSender);
     const std::string sender = from.at(0);
     known_hosts_.insert(sender);
-    heard_[sender] = {from.at(1), now};
-    if (from.at(1) == self_.availability_zone) {
-      Neighbour& neighbour = neighbours_[sender];
-      neighbour.relay_address = from.at(2);
-      neighbour.order = from.at(3);
-      neighbour.heard_at = now;
-    }
+    Router& router = routers_[sender];
+    router.availability_zone = from.at(1);
+    router.relay_address = from.at(2);
+    router.order = from.at(3);
+    router.heard_at = now;
     for (const json& load : body.value(kLoads, json::array())) {
       Runner* runner = find(load.at(0));
       if (runner == nullptr) continue;
@@ -248,7 +246,10 @@
       if (tokens == kRetracted) {
         runner->cache.Forget(part.at(1));
       } else {
-        const auto ready_at = now + milliseconds(tokens / kTokensPerMs);
+        const std::chrono::duration<double, std::milli> reading(
+            tokens / placement::kReadTokensPerMs);
+        const auto ready_at =
+            now + std::chrono::duration_cast<milliseconds>(reading);
         runner->cache.Use(part.at(1), tokens, ready_at);
         fleet_.shared_parts().Use(part.at(1), 1);
       }
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -69,19 +69,17 @@
   // Another router.
   struct Router {
     std::string availability_zone;
+    std::string relay_address;
+    // Offset of its registration.
+    std::uint64_t order = 0;
     RuntimeClock::time_point heard_at;
+    // Not used as reader before this time.
+    RuntimeClock::time_point distrusted_until;
 
     bool IsAlive(RuntimeClock::time_point now) const {
       return now - heard_at < kLife;
     }
   };
-  // Another router of this zone.
-  struct Neighbour {
-    std::string relay_address;
-    std::uint64_t order = 0;
-    RuntimeClock::time_point heard_at;
-    RuntimeClock::time_point distrusted_until;
-  };
   // Tokens of a part that was not read after all.
   static constexpr std::uint32_t kRetracted = 0;
   struct PartHint {
@@ -99,9 +97,9 @@
   Identity self_;
   // Offset of the own registration; the earliest router of a zone reads.
   std::optional<std::uint64_t> order_;
-  std::map<std::string, Neighbour> neighbours_;
   std::set<std::string> known_hosts_;
-  std::map<std::string, Router> heard_;
+  // Other routers that were heard, by host.
+  std::map<std::string, Router> routers_;
   RuntimeClock::time_point sent_at_;
   RuntimeClock::time_point order_heard_at_;
   wire::PeerBus bus_;
--- a/src/fleet/runner_dialect.cc
+++ b/src/fleet/runner_dialect.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "beryllane/placement/prefix_policy.h"
 #include "fmt/format.h"
 #include "src/telemetry/log.h"
 
@@ -26,8 +27,6 @@
 constexpr milliseconds kSignOfLife{1000};
 // A target that takes new weights refuses for about this long.
 constexpr milliseconds kSwitchPause{400};
-// Reading speed of a runner; from the deployments' data sheets.
-constexpr double kTokensPerMs = 40;
 // A full target frees a slot in about this time.
 constexpr milliseconds kFullPause{150};
 
@@ -238,9 +237,9 @@
   if (!routed_.service->engine) return;
   const auto keys = PartKeys(routed_.request, choice_.cache_salt);
   const auto now = RuntimeClock::now();
-  const auto ready_at =
-      now + duration_cast<milliseconds>(
-                Millis(choice_.runner->UnreadTokens(now) / kTokensPerMs));
+  const auto ready_at = now + duration_cast<milliseconds>(
+                                  Millis(choice_.runner->UnreadTokens(now) /
+                                         placement::kReadTokensPerMs));
   for (std::size_t i = 0; i < keys.size(); ++i) {
     const std::uint32_t tokens = routed_.request.parts[i].tokens;
     if (!choice_.runner->cache.Holds(keys[i])) {
