Empty the mirror of a runner that started again; log gaps in its changes

The incarnation and the gap that a runner's answer tells were decoded and not used. A runner that starts again under its id holds nothing, and its list entry shows it up to a beat later.

Test: PlatformCache.ARunnerThatStartedAgainIsNotTakenToHoldAPrompt.

--- a/src/fleet/cache_follower.cc
+++ b/src/fleet/cache_follower.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <optional>
 #include <utility>
 
 #include "src/fleet/placement.h"
@@ -53,6 +54,7 @@
 awaitable<void> CacheFollower::Follow(std::shared_ptr<Runner> runner) {
   const std::string id = runner->entry.id;
   std::uint64_t since = 0;
+  std::optional<std::int64_t> incarnation;
   const auto is_current = [&] {
     const auto it = fleet_.targets().find(id);
     return it != fleet_.targets().end() && it->second == runner;
@@ -78,11 +80,21 @@
       co_await net::Sleep(kFailurePause);
       continue;
     }
-    since = decoded.value().next;
-    for (const auto& change : decoded.value().changes) {
-      Apply(*runner, change);
+    const platform::CacheChanges& told = decoded.value();
+    // A runner that started again holds nothing, also before the list shows it.
+    if (incarnation && *incarnation != told.incarnation) runner->cache.Clear();
+    // What was dropped unseen stays in the mirror until it is the least
+    // recently used; the line tells why parts may be read again meanwhile.
+    if (told.has_gap && incarnation) {
+      telemetry::Log(Level::kInfo, telemetry::event::kRecordIgnored,
+                     {{"target", id},
+                      {"message", "older cache changes were dropped unseen"},
+                      {"next", told.next}});
     }
-    changes_.Add(decoded.value().changes.size());
+    incarnation = told.incarnation;
+    since = told.next;
+    for (const auto& change : told.changes) Apply(*runner, change);
+    changes_.Add(told.changes.size());
     co_await net::Sleep(kCallPace);
   }
   followed_.erase(id);
--- a/standins/cache_log.h
+++ b/standins/cache_log.h
@@ -38,13 +38,19 @@
       Change(false, key.first, key.second, 0);
     }
   }
+  // Starts again, with nothing cached and new numbers.
+  void Restart() {
+    held_.clear();
+    changes_.clear();
+    ++epoch_;
+  }
   std::uint64_t next() const { return changes_.size(); }
   nlohmann::json Since(std::uint64_t since) const {
     nlohmann::json events = nlohmann::json::array();
     for (std::size_t i = since; i < changes_.size(); ++i) {
       events.push_back(changes_[i]);
     }
-    return {{"bootEpoch", 1},
+    return {{"bootEpoch", epoch_},
             {"next", changes_.size()},
             {"lost", false},
             {"events", events}};
@@ -65,6 +71,7 @@
   }
 
   std::string model_;
+  int epoch_ = 1;
   std::map<std::pair<std::string, std::string>, int> held_;
   std::vector<nlohmann::json> changes_;
 };
--- a/standins/runner_main.cc
+++ b/standins/runner_main.cc
@@ -111,6 +111,7 @@
           change.value("step_ms", std::int64_t{faults_.step.count()}));
       state_ = change.value("state", state_);
       if (change.value("drop_cache", false)) cache_.Drop();
+      if (change.value("restart_cache", false)) cache_.Restart();
     }
     const json seen{{"runs", runs_},
                     {"last", last_},
--- a/tests/src/process-platform.cpp
+++ b/tests/src/process-platform.cpp
@@ -298,39 +298,60 @@
   }));
 }
 
-// A runner that dropped a prompt was taken to hold it, and read it again while
-// another one had it.
-TEST_F(Platform, ADroppedPromptIsCopiedFromTheRunnerThatHoldsIt) {
-  const auto runner_of = [&](const std::string& id) {
+// Two runners read the same prompt.
+class PlatformCache : public Platform {
+ protected:
+  PlatformCache() {
+    EXPECT_EQ(StatusOf(fleet_.Ask(0, "/advice/x", "first")), 200);
+    first_ = RunnerOf("first");
+    fleet_.ControlRunner(first_, {{"refuse", true}});
+    EXPECT_EQ(StatusOf(fleet_.Ask(0, "/advice/x", "second")), 200);
+    second_ = RunnerOf("second");
+    // Three parts were read at each.
+    EXPECT_TRUE(EventuallyTold(6));
     for (int i = 0; i < PlatformFleet::kRunners; ++i) {
-      if (fleet_.ControlRunner(i, json::object())["runs"].contains(id)) {
-        return i;
-      }
+      fleet_.ControlRunner(i, {{"refuse", i != first_}});
     }
-    return -1;
-  };
-  EXPECT_EQ(StatusOf(fleet_.Ask(0, "/advice/x", "first")), 200);
-  const int first = runner_of("first");
-  ASSERT_GE(first, 0);
-  fleet_.ControlRunner(first, {{"refuse", true}});
-  EXPECT_EQ(StatusOf(fleet_.Ask(0, "/advice/x", "second")), 200);
-  const int second = runner_of("second");
-  ASSERT_GE(second, 0);
-  // Three parts were read at each.
-  EXPECT_TRUE(Eventually(
-      [&] { return fleet_.Metric(0, "beryllane_cache_changes_total") == 6; }));
-  fleet_.ControlRunner(first, {{"drop_cache", true}});
-  EXPECT_TRUE(Eventually(
-      [&] { return fleet_.Metric(0, "beryllane_cache_changes_total") == 9; }));
-  for (int i = 0; i < PlatformFleet::kRunners; ++i) {
-    fleet_.ControlRunner(i, {{"refuse", i != first}});
   }
-  EXPECT_TRUE(Eventually(
-      [&] { return StatusOf(fleet_.Ask(0, "/advice/x", "third")) == 200; }));
-  const json seen = fleet_.ControlRunner(first, json::object());
-  EXPECT_TRUE(seen["runs"].contains("third"));
-  EXPECT_EQ(seen["last"]["headers"].value("Kv-Fetch", ""),
-            net::ToString(fleet_.runner_address(second)));
+  int RunnerOf(const std::string& id) const {
+    for (int i = 0; i < PlatformFleet::kRunners; ++i) {
+      const json seen = fleet_.ControlRunner(i, json::object());
+      if (seen["runs"].contains(id)) return i;
+    }
+    ADD_FAILURE() << id << " ran nowhere";
+    return 0;
+  }
+  bool EventuallyTold(int changes) const {
+    return Eventually([&] {
+      return fleet_.Metric(0, "beryllane_cache_changes_total") == changes;
+    });
+  }
+  // Whether a request at the first runner is told to copy from the second.
+  bool IsCopied(const std::string& id) const {
+    if (StatusOf(fleet_.Ask(0, "/advice/x", id)) != 200) return false;
+    const json seen = fleet_.ControlRunner(first_, json::object());
+    return seen["runs"].contains(id) &&
+           seen["last"]["headers"].value("Kv-Fetch", "") ==
+               net::ToString(fleet_.runner_address(second_));
+  }
+
+  int first_ = 0;
+  int second_ = 0;
+};
+
+// A runner that dropped a prompt was taken to hold it, and read it again while
+// another one had it.
+TEST_F(PlatformCache, ADroppedPromptIsCopiedFromTheRunnerThatHoldsIt) {
+  fleet_.ControlRunner(first_, {{"drop_cache", true}});
+  EXPECT_TRUE(EventuallyTold(9));
+  EXPECT_TRUE(Eventually([&] { return IsCopied("third"); }));
+}
+
+TEST_F(PlatformCache, ARunnerThatStartedAgainIsNotTakenToHoldAPrompt) {
+  fleet_.ControlRunner(first_, {{"restart_cache", true}});
+  int asked = 0;
+  EXPECT_TRUE(
+      Eventually([&] { return IsCopied("r" + std::to_string(++asked)); }));
 }
 
 TEST_F(Platform, ADrainingTargetGetsNoNewRequests) {
