Play seeded faults against real processes and check callers and targets

A soak starts routers, targets and the store as processes, puts a proxy on each link between them, and plays kills, stops, pauses, reloads, link faults and misbehaviour of targets and store, which overlap. Its judge compares what callers saw with the runs that targets wrote down.

--- a/standins/metadata_store.cc
+++ b/standins/metadata_store.cc
@@ -149,6 +149,8 @@
   faults_.down = change.value("down", faults_.down);
   faults_.silent = change.value("silent", faults_.silent);
   faults_.lose_answers = change.value("lose_answers", faults_.lose_answers);
+  faults_.answer_time = std::chrono::milliseconds(
+      change.value("answer_ms", std::int64_t{faults_.answer_time.count()}));
   if (change.contains("put")) {
     const json& put = change["put"];
     Put(topics_[put["topic"].get<std::string>()], put["key"].get<std::string>(),
--- a/standins/runner_main.cc
+++ b/standins/runner_main.cc
@@ -4,7 +4,9 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <chrono>
 #include <cstdio>
+#include <fstream>
 #include <nlohmann/json.hpp>
 #include <string>
 
@@ -16,6 +18,8 @@
 
 ABSL_FLAG(std::string, listen, "127.0.0.1:7300", "address of the target");
 ABSL_FLAG(std::string, control_listen, "", "address of the control port");
+ABSL_FLAG(std::string, advertise, "",
+          "address that it registers; by default the one it listens on");
 ABSL_FLAG(std::string, store_control, "", "control port of the store");
 ABSL_FLAG(std::string, id, "i-1", "id of this target");
 ABSL_FLAG(std::string, service, "scribe", "service that it belongs to");
@@ -23,6 +27,9 @@
 ABSL_FLAG(std::string, model, "", "model; empty for a plain service");
 ABSL_FLAG(std::int64_t, step_ms, 5, "time between the events of a stream");
 ABSL_FLAG(int, events, 20, "events of a stream");
+ABSL_FLAG(bool, name_requests, false, "events name the request they answer");
+ABSL_FLAG(std::string, run_log, "",
+          "file to which each run and order is appended as a JSON line");
 
 namespace beryllane::standins {
 namespace {
@@ -62,6 +69,10 @@
         id_(absl::GetFlag(FLAGS_id)),
         born_(RuntimeClock::WallNow().time_since_epoch().count()) {
     faults_.step = milliseconds(absl::GetFlag(FLAGS_step_ms));
+    const std::string advertised = absl::GetFlag(FLAGS_advertise);
+    address_ = advertised.empty() ? absl::GetFlag(FLAGS_listen) : advertised;
+    const std::string run_log = absl::GetFlag(FLAGS_run_log);
+    if (!run_log.empty()) run_log_.open(run_log, std::ios::app);
   }
 
   void Start() {
@@ -143,7 +154,7 @@
     const auto store = net::ParseAddress(absl::GetFlag(FLAGS_store_control));
     for (std::uint64_t beat = 1; store; ++beat) {
       const json entry{{"service", absl::GetFlag(FLAGS_service)},
-                       {"address", absl::GetFlag(FLAGS_listen)},
+                       {"address", address_},
                        {"zone", absl::GetFlag(FLAGS_zone)},
                        {"version", "v1"},
                        {"slots", 8},
@@ -182,6 +193,7 @@
     co_await exchange.Respond(std::move(answer));
     if (status != 202) co_return;
     orders_.push_back(order);
+    if (run_log_.is_open()) Log({{"order", order}});
     is_loading_ = true;
     co_await net::Sleep(kLoadTime);
     version_ = order["version"];
@@ -204,6 +216,7 @@
     }
     ++runs_[id];
     Remember(request);
+    if (run_log_.is_open()) LogRun(id);
     ++running_;
     const std::shared_ptr<void> guard(nullptr, [this](void*) { --running_; });
     if (faults_.lose_answers) {
@@ -254,6 +267,19 @@
     }
   }
 
+  void LogRun(const std::string& id) {
+    json run = last_;
+    run["run"] = id;
+    Log(std::move(run));
+  }
+
+  // Written through at once, so that a kill loses no line.
+  void Log(json line) {
+    line["target"] = id_;
+    line["at_ns"] = std::chrono::steady_clock::now().time_since_epoch().count();
+    run_log_ << line.dump() << std::endl;
+  }
+
   net::Response Answer(const std::string& request_id,
                        const std::string& body) const {
     net::Response answer = net::MakeResponse(200, body, "text/plain");
@@ -277,9 +303,12 @@
     if (!co_await exchange.StartStream(std::move(head))) co_return;
     const std::string last(net::Header(exchange.request(), "Last-Event-Id"));
     const int from = last.empty() ? 1 : std::stoi(last) + 1;
+    const std::string suffix =
+        absl::GetFlag(FLAGS_name_requests) ? " of " + id : "";
     for (int i = from; i <= absl::GetFlag(FLAGS_events); ++i) {
       co_await net::Sleep(faults_.step);
-      const std::string event = fmt::format("id: {}\ndata: word {}\n\n", i, i);
+      const std::string event =
+          fmt::format("id: {}\ndata: word {}{}\n\n", i, i, suffix);
       if (i == faults_.cut_at) {
         co_await exchange.Write(event.substr(0, event.size() / 2));
         exchange.CloseAfter();
@@ -293,6 +322,8 @@
   net::asio::io_context& context_;
   net::HttpClient client_;
   std::string id_;
+  std::string address_;
+  std::ofstream run_log_;
   std::int64_t born_;
   std::string state_ = "ready";
   RunnerFaults faults_;
@@ -308,8 +339,9 @@
 
 int Main(int argc, char** argv) {
   const std::vector<std::string> names{
-      "listen", "control_listen", "store_control", "id",    "service",
-      "zone",   "model",          "step_ms",       "events"};
+      "listen",  "control_listen", "advertise",     "store_control",
+      "id",      "service",        "zone",          "model",
+      "step_ms", "events",         "name_requests", "run_log"};
   const auto line = settings::ReadCommandLine(argc, argv, names);
   if (line.wants_help) {
     std::puts(settings::HelpText(names).c_str());
--- /dev/null
+++ b/tests/src/unit-soak.cpp
@@ -0,0 +1,178 @@
+// The soak's judge finds each broken promise in a record with one planted, and
+// none in a clean record.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <array>
+
+#include "tests/soak/fault_plan.h"
+#include "tests/soak/promises.h"
+#include "tests/support/platform_fleet.h"
+
+namespace beryllane::soak {
+namespace {
+
+using std::chrono::milliseconds;
+
+class SoakJudge : public ::testing::Test {
+ protected:
+  static constexpr const char* kId = "call-0-0";
+
+  SoakJudge() {
+    call_.id = kId;
+    call_.kind = RequestKind::kBook;
+    call_.key = "key";
+    call_.sent_at = Instant(std::chrono::seconds(100));
+    call_.ended_at = call_.sent_at + milliseconds(20);
+    call_.end = CallEnd::kAnswered;
+    call_.status = 200;
+    call_.answered_id = kId;
+    call_.is_sealed = true;
+    call_.body = std::string("ran at desk-0: ") + kId;
+    run_ = {kId,
+            "desk-0",
+            call_.sent_at + milliseconds(5),
+            PathOf(RequestKind::kBook),
+            kId,
+            "workshop"};
+  }
+
+  void MakeStream(int events) {
+    call_.kind = RequestKind::kChat;
+    run_.path = PathOf(RequestKind::kChat);
+    call_.body.clear();
+    for (int i = 1; i <= events; ++i) {
+      const std::string number = std::to_string(i);
+      call_.body +=
+          "id: " + number + "\ndata: word " + number + " of " + kId + "\n\n";
+    }
+  }
+
+  std::size_t Broken(int runs = 1) const {
+    SoakRecord record = record_;
+    record.calls.push_back(call_);
+    for (int i = 0; i < runs; ++i) record.runs.push_back(run_);
+    return FindBroken(record, PromiseBounds{}).size();
+  }
+
+  CallRecord call_;
+  RunRecord run_;
+  SoakRecord record_;
+};
+
+TEST_F(SoakJudge, ACleanRecordBreaksNothing) {
+  EXPECT_EQ(Broken(), 0U);
+  constexpr int kAll = 20;
+  MakeStream(kAll);
+  EXPECT_EQ(Broken(), 0U);
+}
+
+TEST_F(SoakJudge, FindsASecondRun) { EXPECT_EQ(Broken(2), 1U); }
+
+TEST_F(SoakJudge, FindsARefusalOfARequestThatRan) {
+  call_.status = 503;
+  EXPECT_EQ(Broken(), 1U);
+  EXPECT_EQ(Broken(0), 0U);
+}
+
+TEST_F(SoakJudge, FindsAnAnswerToAnotherRequest) {
+  call_.answered_id = "call-0-1";
+  EXPECT_EQ(Broken(), 1U);
+}
+
+TEST_F(SoakJudge, FindsAnAnswerThatWasNotItsTargets) {
+  call_.body = "ran at desk-1: call-0-0";
+  EXPECT_EQ(Broken(), 1U);
+}
+
+TEST_F(SoakJudge, FindsAStreamThatLooksCompleteAndIsNot) {
+  MakeStream(3);
+  EXPECT_EQ(Broken(), 1U);
+}
+
+TEST_F(SoakJudge, FindsAPieceThatComesTwiceInACutStream) {
+  MakeStream(3);
+  call_.body += call_.body;
+  call_.end = CallEnd::kClosed;
+  record_.disturbances.push_back({call_.sent_at, call_.ended_at});
+  EXPECT_EQ(Broken(), 1U);
+}
+
+TEST_F(SoakJudge, FindsARunThatNobodyAskedFor) {
+  RunRecord stray = run_;
+  stray.id = "call-9-9";
+  record_.runs.push_back(stray);
+  EXPECT_EQ(Broken(), 1U);
+}
+
+TEST_F(SoakJudge, FindsARunWithAnotherBodyOrAccount) {
+  run_.body = "smuggled";
+  EXPECT_EQ(Broken(), 1U);
+  run_.account = "other";
+  EXPECT_EQ(Broken(), 2U);
+}
+
+TEST_F(SoakJudge, FindsARunWithARevokedKey) {
+  record_.revocations.push_back(
+      {"key", call_.sent_at - milliseconds(3500), Instant::max()});
+  EXPECT_EQ(Broken(), 1U);
+  // Within the bound it may still run.
+  record_.revocations.back().from = call_.sent_at - milliseconds(2500);
+  EXPECT_EQ(Broken(), 0U);
+}
+
+TEST_F(SoakJudge, FindsACallWithoutAnAnswerInACalmSpan) {
+  call_.end = CallEnd::kClosed;
+  call_.status = 0;
+  EXPECT_EQ(Broken(), 1U);
+  EXPECT_EQ(Broken(0), 0U);
+  record_.disturbances.push_back(
+      {call_.sent_at - milliseconds(3000), call_.sent_at - milliseconds(2000)});
+  EXPECT_EQ(Broken(), 0U);
+}
+
+TEST_F(SoakJudge, FindsOneTokenOfTwoHoldersAndAnOlderToken) {
+  const Instant at = call_.sent_at;
+  record_.orders = {{"runner-0", at, "a", 3}, {"runner-1", at, "b", 3}};
+  EXPECT_EQ(Broken(), 1U);
+  record_.orders = {{"runner-0", at, "a", 3}, {"runner-0", at, "b", 2}};
+  EXPECT_EQ(Broken(), 1U);
+}
+
+TEST_F(SoakJudge, FindsMoreAttemptsThanLostTargetsExcuse) {
+  call_.kind = RequestKind::kStock;
+  run_.path = PathOf(RequestKind::kStock);
+  EXPECT_EQ(Broken(3), 0U);
+  for (int i = 0; i < 3; ++i) record_.calls.push_back(call_);
+  EXPECT_EQ(Broken(3), 1U);
+}
+
+TEST(FaultPlan, OneSeedGivesOnePlanAndOthersGiveOthers) {
+  const PlanShape shape;
+  const auto plan = DrawPlan(1, shape);
+  const auto again = DrawPlan(1, shape);
+  ASSERT_FALSE(plan.empty());
+  ASSERT_EQ(plan.size(), again.size());
+  for (std::size_t i = 0; i < plan.size(); ++i) {
+    EXPECT_EQ(Describe(plan[i]), Describe(again[i]));
+    EXPECT_LT(plan[i].at, shape.span);
+  }
+  EXPECT_NE(Describe(plan[0]), Describe(DrawPlan(2, shape)[0]));
+}
+
+TEST(FaultPlan, EachKindOfFaultComesAndFaultsOverlap) {
+  PlanShape shape;
+  shape.span = std::chrono::minutes(5);
+  std::array<int, kFaultKinds> seen{};
+  int overlaps = 0;
+  const auto plan = DrawPlan(1, shape);
+  for (std::size_t i = 0; i < plan.size(); ++i) {
+    ++seen.at(static_cast<std::size_t>(plan[i].kind));
+    if (i > 0 && plan[i].at < plan[i - 1].at + plan[i - 1].lasts) ++overlaps;
+  }
+  EXPECT_EQ(std::count(seen.begin(), seen.end(), 0), 0);
+  EXPECT_GT(overlaps, 0);
+}
+
+}  // namespace
+}  // namespace beryllane::soak
--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -119,6 +119,13 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+std::optional<int> Process::EndedWith() {
+  int status = 0;
+  if (pid_ <= 0 || waitpid(pid_, &status, WNOHANG) != pid_) return std::nullopt;
+  pid_ = -1;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
 Result<net::Response> Call(const net::Address& address, net::http::verb method,
                            const std::string& target, const std::string& body,
                            const Headers& headers, milliseconds timeout) {
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,9 @@
   void Kill();
   /// Waits for the process to end by itself; its exit code, or -1.
   int Wait();
+  /// The exit code of a process that has ended, or -1 after a signal; nothing
+  /// while it runs. @pre started, and not waited for.
+  std::optional<int> EndedWith();
   /// Whether it was started and not waited for. @pre none.
   bool is_running() const { return pid_ > 0; }
 
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -58,7 +58,8 @@
                                     {"isolated", false}}})}};
 }
 
-PlatformFleet::PlatformFleet(int routers) {
+PlatformFleet::PlatformFleet(int routers, Relay relay)
+    : relay_(std::move(relay)) {
   std::string pattern =
       (std::filesystem::temp_directory_path() / "beryllane-XXXXXX").string();
   directory_ = mkdtemp(pattern.data());
@@ -77,15 +78,10 @@
     StartRunner(i);
   }
   for (int i = 0; i < kDesks; ++i) {
+    desk_ports_.push_back(FreeAddress());
     desk_controls_.push_back(FreeAddress());
-    desks_.emplace_back(
-        BERYLLANE_RUNNER,
-        std::vector<std::string>{
-            "--listen", net::ToString(FreeAddress()), "--control_listen",
-            net::ToString(desk_controls_.back()), "--store_control",
-            net::ToString(store_control_), "--id", fmt::format("desk-{}", i),
-            "--service", "desk", "--zone", kZones[i]},
-        fmt::format("{}/desk-{}.log", directory_, i));
+    desks_.emplace_back();
+    StartDesk(i);
   }
   const bool is_listed = Eventually([&] {
     const json ends = ControlStore(json::object())["ends"];
@@ -99,6 +95,9 @@
     // The router takes the next port, too.
     FreeAddress();
     metrics_ports_.push_back(FreeAddress());
+    const std::string store_name = fmt::format("store-of-router-{}", i);
+    store_ports_.push_back(relay_ ? relay_(store_name, store_address_)
+                                  : store_address_);
     routers_.emplace_back();
   }
   for (int i = 0; i < routers; ++i) StartRouter(i);
@@ -107,14 +106,42 @@
   }
 }
 
+std::vector<std::string> PlatformFleet::TargetArguments(
+    const std::string& id, const net::Address& listen) const {
+  std::vector<std::string> arguments{"--id",
+                                     id,
+                                     "--listen",
+                                     net::ToString(listen),
+                                     "--store_control",
+                                     net::ToString(store_control_)};
+  if (relay_) {
+    arguments.insert(
+        arguments.end(),
+        {"--advertise", net::ToString(relay_(id, listen)), "--name_requests",
+         "--run_log", fmt::format("{}/{}.runs", directory_, id)});
+  }
+  return arguments;
+}
+
 void PlatformFleet::StartRunner(int i) {
-  runners_[i] = Process(
-      BERYLLANE_RUNNER,
-      {"--listen", net::ToString(runner_ports_[i]), "--control_listen",
-       net::ToString(runner_controls_[i]), "--store_control",
-       net::ToString(store_control_), "--id", fmt::format("runner-{}", i),
-       "--service", "scribe", "--zone", kZones[i], "--model", kModel},
-      fmt::format("{}/runner-{}.log", directory_, i));
+  const std::string id = fmt::format("runner-{}", i);
+  std::vector<std::string> arguments = TargetArguments(id, runner_ports_[i]);
+  arguments.insert(
+      arguments.end(),
+      {"--control_listen", net::ToString(runner_controls_[i]), "--service",
+       "scribe", "--zone", kZones[i], "--model", kModel});
+  runners_[i] = Process(BERYLLANE_RUNNER, arguments,
+                        fmt::format("{}/{}.log", directory_, id));
+}
+
+void PlatformFleet::StartDesk(int i) {
+  const std::string id = fmt::format("desk-{}", i);
+  std::vector<std::string> arguments = TargetArguments(id, desk_ports_[i]);
+  arguments.insert(arguments.end(),
+                   {"--control_listen", net::ToString(desk_controls_[i]),
+                    "--service", "desk", "--zone", kZones[i]});
+  desks_[i] = Process(BERYLLANE_RUNNER, arguments,
+                      fmt::format("{}/{}.log", directory_, id));
 }
 
 std::string PlatformFleet::SettingsOf(int i) const {
@@ -130,7 +157,7 @@
       i, router_ports_[i].ip, kZones[i % 3], i % 3 == 2 ? "r2" : "r1",
       peer_ports_[i].port, peer_ports_[i].port + 1,
       net::ToString(router_ports_[i]), net::ToString(ready_ports_[i]),
-      net::ToString(store_address_));
+      net::ToString(store_ports_[i]));
 }
 
 void PlatformFleet::StartRouter(int i) {
@@ -216,4 +243,15 @@
   return text.str();
 }
 
+std::vector<json> PlatformFleet::TargetLog(const std::string& target) const {
+  std::ifstream in(fmt::format("{}/{}.runs", directory_, target));
+  std::vector<json> lines;
+  for (std::string line; std::getline(in, line);) {
+    // The last line of a target that was killed may be torn.
+    json entry = json::parse(line, nullptr, false);
+    if (entry.is_object()) lines.push_back(std::move(entry));
+  }
+  return lines;
+}
+
 }  // namespace beryllane::testing
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -3,6 +3,7 @@
 #ifndef BERYLLANE_TESTS_SUPPORT_PLATFORM_FLEET_H_
 #define BERYLLANE_TESTS_SUPPORT_PLATFORM_FLEET_H_
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -10,6 +11,10 @@
 
 namespace beryllane::testing {
 
+/// Gives the address at which `name` is reached in place of its own.
+using Relay =
+    std::function<net::Address(const std::string& name, const net::Address&)>;
+
 /// A store, three model runners, two plain service processes and routers.
 /// Ended, by their ids, when destroyed.
 class PlatformFleet {
@@ -20,8 +25,10 @@
   static constexpr const char* kKey = "key-of-workshop";
   static constexpr const char* kModel = "m1";
 
+  /// With `relay`, routers reach each target and the store (as
+  /// `store-of-router-N`) where it says, and targets write `TargetLog`.
   /// @pre `routers` > 0.
-  explicit PlatformFleet(int routers = 1);
+  explicit PlatformFleet(int routers = 1, Relay relay = nullptr);
 
   /// The configuration that the fleet starts with, of version 1.
   static nlohmann::json FirstConfig();
@@ -62,6 +69,8 @@
   void StartRouter(int i);
   /// Starts a model runner again under its id. @pre it was ended.
   void StartRunner(int i);
+  /// Starts a plain service again under its id. @pre it was ended.
+  void StartDesk(int i);
   /// The settings that a router starts with. @pre none.
   std::string SettingsOf(int i) const;
   /// Replaces a router's settings file. @pre none.
@@ -70,26 +79,39 @@
 
   Process& router(int i) { return routers_[i]; }
   Process& runner(int i) { return runners_[i]; }
+  Process& desk(int i) { return desks_[i]; }
+  Process& store() { return store_; }
   const net::Address& router_address(int i) const { return router_ports_[i]; }
   /// Where a model runner listens. @pre `i` < kRunners.
   const net::Address& runner_address(int i) const { return runner_ports_[i]; }
   /// What a router logged. @pre none.
   std::string LogOf(int router) const;
+  /// Runs and orders of one target, a JSON object a line, from its start on.
+  /// @pre the fleet has a relay.
+  std::vector<nlohmann::json> TargetLog(const std::string& target) const;
+  /// Folder of all logs. @pre none.
+  const std::string& directory() const { return directory_; }
 
  private:
+  std::vector<std::string> TargetArguments(const std::string& id,
+                                           const net::Address& listen) const;
+
   std::string directory_;
+  Relay relay_;
   net::Address store_address_ = FreeAddress();
   net::Address store_control_ = FreeAddress();
   Process store_;
   std::vector<net::Address> runner_ports_;
   std::vector<net::Address> runner_controls_;
   std::vector<Process> runners_;
+  std::vector<net::Address> desk_ports_;
   std::vector<net::Address> desk_controls_;
   std::vector<Process> desks_;
   std::vector<net::Address> router_ports_;
   std::vector<net::Address> ready_ports_;
   std::vector<net::Address> peer_ports_;
   std::vector<net::Address> metrics_ports_;
+  std::vector<net::Address> store_ports_;
   std::vector<Process> routers_;
 };
 
