End the process without destroying the node; record the soak's runs

Suspended coroutines belong to the loop, which is destroyed last, and refer to those parts. The process ends at once now, after its log is written; nothing else is left to do there.

--- a/apps/beryllaned.cc
+++ b/apps/beryllaned.cc
@@ -203,7 +203,10 @@
       static_cast<std::uint16_t>(absl::GetFlag(FLAGS_metrics_port)));
   auto ran = node.Run();
   telemetry::FlushLog();
-  return ran.ok() ? 0 : PrintFault(ran.error());
+  if (!ran.ok()) return PrintFault(ran.error());
+  // Coroutines that are still suspended refer to parts of the node that would
+  // be destroyed before them. No destructor has work left to do here.
+  std::_Exit(EXIT_SUCCESS);
 }
 
 int Main(int argc, char** argv) {
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -32,7 +32,6 @@
     std::printf("  %s\n", Describe(fault).c_str());
   }
   std::printf("  logs: %s\n", soak.directory().c_str());
-  std::fflush(stdout);
   return false;
 }
 
@@ -63,6 +62,7 @@
       continue;
     }
     is_kept = Play(seed, shape) && is_kept;
+    std::fflush(stdout);
   }
   return is_kept ? 0 : 1;
 }
--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -123,7 +123,7 @@
   int status = 0;
   if (pid_ <= 0 || waitpid(pid_, &status, WNOHANG) != pid_) return std::nullopt;
   pid_ = -1;
-  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
 }
 
 Result<net::Response> Call(const net::Address& address, net::http::verb method,
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -36,8 +36,9 @@
   void Kill();
   /// Waits for the process to end by itself; its exit code, or -1.
   int Wait();
-  /// The exit code of a process that has ended, or -1 after a signal; nothing
-  /// while it runs. @pre started, and not waited for.
+  /// The exit code of a process that has ended, or the negative number of the
+  /// signal that ended it; nothing while it runs. @pre started, and not waited
+  /// for.
   std::optional<int> EndedWith();
   /// Whether it was started and not waited for. @pre none.
   bool is_running() const { return pid_ > 0; }
