Log the shared prompt parts of a request and how far its answer had come

What callers saw: streams cut and requests failed while runners crashed in a row. Cause of this change: the logs could not tell whether a prompt part, the load or our repeats crash the runners. Change: 'placed' and 'attempt-failed' name the shared parts; 'attempt-failed' says how long ago the request was sent, the head came and the body began. No behaviour changed.

--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -39,6 +39,22 @@
   return std::clamp(priority, 0, kLast);
 }
 
+// Ids of the prompt parts that other requests may share.
+std::string SharedPartIds(const platform::CallerRequest& request) {
+  std::string ids;
+  for (std::size_t i = 0; i + 1 < request.parts.size(); ++i) {
+    if (i > 0) ids += ',';
+    ids += request.parts[i].id;
+  }
+  return ids;
+}
+
+// Time since `start` in milliseconds; -1 if there is none.
+std::int64_t MillisSince(std::optional<RuntimeClock::time_point> start) {
+  if (!start) return -1;
+  return duration_cast<milliseconds>(RuntimeClock::now() - *start).count();
+}
+
 }  // namespace
 
 FleetMetrics::FleetMetrics(MetricRegistry& registry)
@@ -125,6 +141,7 @@
       telemetry::Level::kInfo, telemetry::event::kPlaced,
       {{"request", routed_.request.id},
        {"target", choice_.runner->entry.id},
+       {"parts", SharedPartIds(routed_.request)},
        {"attempt", tried_targets_.size()},
        {"price_ms", choice_.cost_ms},
        {"candidates", choice_.candidates},
@@ -140,6 +157,9 @@
 }
 
 net::Request RunnerProtocol::Encode(const Target& target) {
+  sent_at_ = RuntimeClock::now();
+  head_at_.reset();
+  body_at_.reset();
   platform::TargetRequestOptions call;
   call.target_id = target.id;
   call.time_left = std::max(milliseconds(1), routed_.TimeLeft());
@@ -208,6 +228,7 @@
   const bool is_success =
       facts.status < kMultipleChoices && facts.is_sealed && !facts.is_encoded;
   if (is_success) {
+    head_at_ = now;
     runner.ClearSuspicion();
     metrics_.first_byte.Record(now - routed_.started);
     // The prefill is complete; decoding does not delay the prefill of others.
@@ -267,7 +288,9 @@
 }
 
 Result<std::string> RunnerProtocol::Feed(std::string bytes) {
-  choice_.runner->last_received_at = RuntimeClock::now();
+  const auto now = RuntimeClock::now();
+  choice_.runner->last_received_at = now;
+  if (!body_at_) body_at_ = now;
   if (!relay_) return bytes;
   return relay_->Feed(bytes);
 }
@@ -314,12 +337,21 @@
   const bool has_arrived = error->id != ErrorId::kTargetUnreachable;
   if (has_arrived) ++delivered_;
   if (error->verdict != Verdict::kNotRun) ++possible_runs_;
+  LogFailedAttempt(target, *error);
+}
+
+void RunnerProtocol::LogFailedAttempt(const Target& target,
+                                      const Error& error) const {
   telemetry::Log(telemetry::Level::kWarning, telemetry::event::kAttemptFailed,
                  {{"request", routed_.request.id},
                   {"target", target.id},
-                  {"error", Name(error->id)},
-                  {"message", error->message},
-                  {"verdict", ToString(error->verdict)},
+                  {"parts", SharedPartIds(routed_.request)},
+                  {"error", Name(error.id)},
+                  {"message", error.message},
+                  {"verdict", ToString(error.verdict)},
+                  {"sent_ms_ago", MillisSince(sent_at_)},
+                  {"head_ms_ago", MillisSince(head_at_)},
+                  {"body_ms_ago", MillisSince(body_at_)},
                   {"time_left_ms", routed_.TimeLeft().count()}});
 }
 
--- a/src/fleet/runner_protocol.h
+++ b/src/fleet/runner_protocol.h
@@ -104,6 +104,8 @@
   // Reverts `ExpectCachedParts` after a failed attempt.
   void RetractExpectedParts();
   void LogChoice() const;
+  void LogFailedAttempt(const exchange::Target& target,
+                        const Error& error) const;
 
   Fleet& fleet_;
   Peers& peers_;
@@ -121,6 +123,11 @@
   int delivered_ = 0;
   // Number of targets at which the request may have run.
   int possible_runs_ = 0;
+  // Times of the current attempt: when it was sent, and when the head and the
+  // first part of the answer's body arrived.
+  RuntimeClock::time_point sent_at_;
+  std::optional<RuntimeClock::time_point> head_at_;
+  std::optional<RuntimeClock::time_point> body_at_;
   std::optional<EventRelay> relay_;
 };
 
