--- a/standins/runner_main.cc
+++ b/standins/runner_main.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 #include <chrono>
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -59,6 +60,9 @@
   milliseconds step{0};
   // Streams break off within the event of this number; negative is never.
   int cut_at = -1;
+  // Id of the prompt part on which the process ends once it has sent the head
+  // of an answer; empty is none.
+  std::string deadly_part;
 };
 
 class Runner {
@@ -118,6 +122,7 @@
       faults_.ignore_orders =
           change.value("ignore_orders", faults_.ignore_orders);
       faults_.cut_at = change.value("cut_at", faults_.cut_at);
+      faults_.deadly_part = change.value("deadly_part", faults_.deadly_part);
       faults_.step = milliseconds(
           change.value("step_ms", std::int64_t{faults_.step.count()}));
       state_ = change.value("state", state_);
@@ -295,12 +300,25 @@
     answer.set("Keep-Alive", "timeout=5");
   }
 
+  awaitable<void> CrashOnDeadlyPart(const net::Request& request) const {
+    constexpr milliseconds kTimeToCrash{30};
+    constexpr int kCrashExit = 7;
+    const std::string_view parts = net::Header(request, "Prompt-Prefix");
+    const std::string& deadly = faults_.deadly_part;
+    if (deadly.empty() || parts.find(deadly + ':') == std::string_view::npos) {
+      co_return;
+    }
+    co_await net::Sleep(kTimeToCrash);
+    std::_Exit(kCrashExit);
+  }
+
   awaitable<void> Stream(net::Exchange& exchange, std::string id) {
     net::http::response<net::http::empty_body> head(net::http::status::ok,
                                                     net::kHttp11);
     head.set(net::http::field::content_type, "text/event-stream");
     SetHeaders(head, id);
     if (!co_await exchange.StartStream(std::move(head))) co_return;
+    co_await CrashOnDeadlyPart(exchange.request());
     const std::string last(net::Header(exchange.request(), "Last-Event-Id"));
     const int from = last.empty() ? 1 : std::stoi(last) + 1;
     const std::string suffix =
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -239,9 +239,18 @@
 Result<net::Response> PlatformFleet::Ask(int router, const std::string& path,
                                          const std::string& id,
                                          Headers headers) const {
+  return AskPrompt(router, path, id, "aa:500,bb:300,cc:200",
+                   std::move(headers));
+}
+
+Result<net::Response> PlatformFleet::AskPrompt(int router,
+                                               const std::string& path,
+                                               const std::string& id,
+                                               const std::string& parts,
+                                               Headers headers) const {
   headers.emplace_back("Model", kModel);
   headers.emplace_back("Token-Usage", "1000,20");
-  headers.emplace_back("Prompt-Prefix", "aa:500,bb:300,cc:200");
+  headers.emplace_back("Prompt-Prefix", parts);
   return Send(router, path, id, std::move(headers));
 }
 
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -63,6 +63,12 @@
   /// @pre none.
   Result<net::Response> Ask(int router, const std::string& path,
                             const std::string& id, Headers headers = {}) const;
+  /// Sends a request with the prompt parts `parts`, as ID:TOKENS entries.
+  /// @pre none.
+  Result<net::Response> AskPrompt(int router, const std::string& path,
+                                  const std::string& id,
+                                  const std::string& parts,
+                                  Headers headers = {}) const;
   /// Status of a router's readiness; 0 where it does not answer. @pre none.
   int ReadyStatus(int router) const;
   /// A counter of a router. @pre none.
