Quarantine prompt parts that crash runners

Cause: one prompt part ends each runner that begins to answer on it. Nothing related crashes to the requests that they broke off; routers sent such requests to the next runner, and each of them saw too few to find the part.

Change: routers exchange which parts each crash broke off; all compute the culprit (CrashAttribution). A part with an answer since is clear. A request with a part under suspicion is not sent again after a crash. Requests with a convicted part are refused as not run, waiting ones are stopped. Verdicts lie in the store, so that routers that restart or missed a message know them. A lapsed quarantine is tried with one request.

--- a/include/beryllane/error/error.h
+++ b/include/beryllane/error/error.h
@@ -44,6 +44,7 @@
   kRateLimited = 206,
   kClaimUnavailable = 207,
   kRetryBudgetSpent = 208,
+  kPromptQuarantined = 209,
   // Ids 300 to 399: a target failed, or the outcome at a target is not known.
   kTargetUnreachable = 301,
   kTargetFailed = 302,
--- a/src/coordination/error.cc
+++ b/src/coordination/error.cc
@@ -40,6 +40,7 @@
     ErrorInfo{ErrorId::kRateLimited, "rate_limited", 429},
     ErrorInfo{ErrorId::kClaimUnavailable, "claim_unavailable", 503},
     ErrorInfo{ErrorId::kRetryBudgetSpent, "retry_budget_spent", 503},
+    ErrorInfo{ErrorId::kPromptQuarantined, "prompt_quarantined", 503},
     ErrorInfo{ErrorId::kTargetUnreachable, "target_unreachable", 502},
     ErrorInfo{ErrorId::kTargetFailed, "target_failed", 502},
     ErrorInfo{ErrorId::kTargetSilent, "target_silent", 504},
--- a/src/fleet/fleet_frontend.cc
+++ b/src/fleet/fleet_frontend.cc
@@ -21,7 +21,7 @@
 // Maximum time between sending a request and its start at the target.
 constexpr milliseconds kMaxQueueTime{1200};
 // By then a retry reaches another host or finds a free slot.
-constexpr std::string_view kRetryAfterSeconds = "0.2";
+constexpr milliseconds kRetryAfter{200};
 constexpr int kUnavailable = 503;
 constexpr int kBadGateway = 502;
 
@@ -43,12 +43,14 @@
 
 FleetFrontend::FleetFrontend(const platform::Settings& settings,
                              net::HttpClient& client, Fleet& fleet,
-                             Peers& peers, const StoreFollower& follower,
+                             Peers& peers, PartQuarantine& quarantine,
+                             const StoreFollower& follower,
                              MetricRegistry& metrics)
     : settings_(settings),
       client_(client),
       fleet_(fleet),
       peers_(peers),
+      quarantine_(quarantine),
       follower_(follower),
       placement_settings_{settings.availability_zone, settings.region,
                           settings.region_of_zone,
@@ -132,32 +134,60 @@
   return routed;
 }
 
-awaitable<void> FleetFrontend::Handle(net::Exchange& exchange) {
+awaitable<ForwardResult> FleetFrontend::Forward(net::Exchange& exchange,
+                                                RunnerProtocol& protocol,
+                                                PromptRequest& prompt) {
   using net::asio::experimental::awaitable_operators::operator||;
+  ForwardResult result;
+  result.kind = ForwardResult::Kind::kFailed;
+  if (auto refusal = quarantine_.Admit(prompt)) {
+    result.error = std::move(*refusal);
+    co_return result;
+  }
+  const std::shared_ptr<void> registration(
+      nullptr, [&](void*) { quarantine_.Leave(prompt); });
+  exchange::RequestForwarder forwarder(exchange, client_, &protocol);
+  auto raced = co_await (forwarder.Run() || exchange.WaitForClose() ||
+                         prompt.WaitForQuarantine());
+  switch (raced.index()) {
+    case 0:
+      co_return std::move(std::get<0>(raced));
+    case 1:
+      result.kind = ForwardResult::Kind::kCallerGone;
+      break;
+    default:
+      result.error = {
+          ErrorId::kPromptQuarantined,
+          "the request was stopped: a part of its prompt crashed "
+          "targets",
+          protocol.attempts() == 0 ? Verdict::kNotRun : Verdict::kMayHaveRun};
+  }
+  co_return result;
+}
+
+awaitable<void> FleetFrontend::Handle(net::Exchange& exchange) {
   if (is_stopping_) exchange.CloseAfter();
   if (platform::IsFramingAmbiguous(exchange.request())) {
     exchange.CloseAfter();
     co_await SendError(exchange, "",
                        Refusal(ErrorId::kMalformedHttp,
-                               "the only transfer encoding taken is chunked"));
+                               "the only transfer encoding taken is chunked"),
+                       kRetryAfter);
     co_return;
   }
   auto admitted = Admit(exchange);
   if (!admitted.ok()) {
-    co_await SendError(exchange, "", admitted.error());
+    co_await SendError(exchange, "", admitted.error(), kRetryAfter);
     co_return;
   }
   RoutedRequest& routed = admitted.value();
   routed.body = exchange.TakeBody();
   metrics_.requests.Add();
   fleet_.BudgetOf(routed.service->name).CountRequest(RuntimeClock::now());
-  RunnerProtocol protocol(fleet_, peers_, placement_settings_, metrics_,
-                          exchange.request(), routed);
-  exchange::RequestForwarder forwarder(exchange, client_, &protocol);
-  auto raced = co_await (forwarder.Run() || exchange.WaitForClose());
-  ForwardResult result;
-  result.kind = ForwardResult::Kind::kCallerGone;
-  if (raced.index() == 0) result = std::move(std::get<0>(raced));
+  PromptRequest prompt(routed.request, co_await net::asio::this_coro::executor);
+  RunnerProtocol protocol(fleet_, peers_, quarantine_, placement_settings_,
+                          metrics_, exchange.request(), routed, prompt);
+  ForwardResult result = co_await Forward(exchange, protocol, prompt);
   LogOutcome(routed, protocol, result);
   switch (result.kind) {
     case ForwardResult::Kind::kResponse:
@@ -178,7 +208,11 @@
         metrics_.failed.Add();
         exchange.CloseAfter();
       } else {
-        co_await SendError(exchange, routed.request.id, result.error);
+        const bool is_quarantined =
+            result.error.id == ErrorId::kPromptQuarantined;
+        co_await SendError(
+            exchange, routed.request.id, result.error,
+            is_quarantined ? quarantine_.TimeToTrial(prompt) : kRetryAfter);
       }
       break;
   }
@@ -217,12 +251,15 @@
 
 awaitable<void> FleetFrontend::SendError(net::Exchange& exchange,
                                          const std::string& request_id,
-                                         Error error) {
+                                         Error error,
+                                         std::chrono::nanoseconds retry_after) {
   const int status = StatusOf(error);
   net::Response answer = caller::ErrorResponse(error);
   answer.result(static_cast<unsigned>(status));
   if (status == kUnavailable) {
-    answer.set(net::http::field::retry_after, std::string(kRetryAfterSeconds));
+    const std::chrono::duration<double> seconds = retry_after;
+    answer.set(net::http::field::retry_after,
+               fmt::format("{:.1f}", seconds.count()));
   }
   (error.verdict == Verdict::kNotRun ? metrics_.refused : metrics_.failed)
       .Add();
--- a/src/fleet/fleet_frontend.h
+++ b/src/fleet/fleet_frontend.h
@@ -9,6 +9,7 @@
 #include "platform/settings.h"
 #include "src/exchange/engine.h"
 #include "src/fleet/fleet.h"
+#include "src/fleet/part_quarantine.h"
 #include "src/fleet/runner_protocol.h"
 #include "src/fleet/store_follower.h"
 #include "src/net/http_server.h"
@@ -20,8 +21,8 @@
  public:
   /// @pre all references outlive the frontend.
   FleetFrontend(const platform::Settings& settings, net::HttpClient& client,
-                Fleet& fleet, Peers& peers, const StoreFollower& follower,
-                MetricRegistry& metrics);
+                Fleet& fleet, Peers& peers, PartQuarantine& quarantine,
+                const StoreFollower& follower, MetricRegistry& metrics);
 
   /// Answers one request. @pre on the frontend's loop.
   net::asio::awaitable<void> Handle(net::Exchange& exchange);
@@ -38,9 +39,16 @@
                                       const std::string& credential) const;
   // Whether the configuration is proven recent enough to decide requests by it.
   bool IsConfigFresh() const;
+  // Forwards a request until it is answered, its caller has gone or one of its
+  // prompt parts is quarantined.
+  net::asio::awaitable<exchange::ForwardResult> Forward(
+      net::Exchange& exchange, RunnerProtocol& protocol, PromptRequest& prompt);
+  // `retry_after` is the time after which a request that did not run may be
+  // sent again.
   net::asio::awaitable<void> SendError(net::Exchange& exchange,
                                        const std::string& request_id,
-                                       Error error);
+                                       Error error,
+                                       std::chrono::nanoseconds retry_after);
   void LogOutcome(const RoutedRequest& routed, const RunnerProtocol& protocol,
                   const exchange::ForwardResult& result) const;
 
@@ -48,6 +56,7 @@
   net::HttpClient& client_;
   Fleet& fleet_;
   Peers& peers_;
+  PartQuarantine& quarantine_;
   const StoreFollower& follower_;
   PlacementSettings placement_settings_;
   FleetMetrics metrics_;
--- a/src/fleet/fleet_node.cc
+++ b/src/fleet/fleet_node.cc
@@ -69,10 +69,13 @@
             reply(follower_.relay().Serve(message));
           }),
       peers_(pool_.at(0), store_, fleet_, IdentityOf(settings_), metrics_),
+      quarantine_(pool_.at(0), store_, fleet_, peers_, settings_.host_id,
+                  metrics_),
       cache_follower_(client_, fleet_, peers_, metrics_),
       rollout_(store_, client_, fleet_, peers_, settings_.host_id,
                LeaseTiming(settings_.bounds), metrics_),
-      frontend_(settings_, client_, fleet_, peers_, follower_, metrics_),
+      frontend_(settings_, client_, fleet_, peers_, quarantine_, follower_,
+                metrics_),
       caller_server_(
           pool_, {}, [this](net::Exchange& e) { return frontend_.Handle(e); },
           caller::ErrorResponse),
@@ -83,6 +86,7 @@
           pool_, {}, [this](net::Exchange& e) { return AnswerMetrics(e); },
           caller::ErrorResponse) {
   follower_.set_peers(&peers_);
+  follower_.set_quarantine(&quarantine_);
   UpdateRetryOptions();
   RegisterGauges();
 }
@@ -148,7 +152,9 @@
   using net::asio::detached;
   co_spawn(loop, follower_.FollowOperator(), detached);
   co_spawn(loop, follower_.FollowTargets(), detached);
+  co_spawn(loop, follower_.FollowQuarantine(), detached);
   co_spawn(loop, peers_.Run(), detached);
+  co_spawn(loop, quarantine_.Run(), detached);
   co_spawn(loop, cache_follower_.Run(), detached);
   co_spawn(loop, rollout_.Run(), detached);
   co_spawn(loop, WatchReadiness(), detached);
--- a/src/fleet/fleet_node.h
+++ b/src/fleet/fleet_node.h
@@ -58,6 +58,7 @@
   StoreFollower follower_;
   wire::PeerServer relay_server_;
   Peers peers_;
+  PartQuarantine quarantine_;
   CacheFollower cache_follower_;
   WeightsRollout rollout_;
   FleetFrontend frontend_;
--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -167,6 +167,11 @@
   }
 }
 
+void Peers::Broadcast(std::string_view field, const json& value) {
+  const auto bytes = json::to_msgpack(json{{std::string(field), value}});
+  bus_.Send(std::string(bytes.begin(), bytes.end()));
+}
+
 void Peers::AnnounceOrder(const Runner& runner, const std::string& model,
                           std::uint64_t version) {
   const json message{{kOrders, {{runner.id_hash, model, version, false}}}};
@@ -230,6 +235,9 @@
   };
   const auto now = RuntimeClock::now();
   try {
+    for (const auto& [field, handler] : handlers_) {
+      if (body.contains(field)) handler(body.at(field));
+    }
     if (body.contains(kLease)) rollout_announced_at_ = now;
     for (const json& order : body.value(kOrders, json::array())) {
       rollout_announced_at_ = now;
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -4,6 +4,9 @@
 #ifndef BERYLLANE_SRC_FLEET_PEERS_H_
 #define BERYLLANE_SRC_FLEET_PEERS_H_
 
+#include <functional>
+#include <map>
+#include <nlohmann/json.hpp>
 #include <set>
 #include <string>
 #include <vector>
@@ -60,6 +63,17 @@
   /// the loop stops. @pre called once.
   net::asio::awaitable<void> Run();
 
+  /// Called with the value of a field that another router broadcast. An
+  /// exception of the JSON library is logged.
+  using FieldHandler = std::function<void(const nlohmann::json& value)>;
+  /// Handles a field of messages; at most one handler for each. @pre called
+  /// before `Run`; `field` is a string constant.
+  void Subscribe(std::string_view field, FieldHandler handler) {
+    handlers_[std::string(field)] = std::move(handler);
+  }
+  /// Sends a field to the other routers at once. @pre none.
+  void Broadcast(std::string_view field, const nlohmann::json& value);
+
   /// Announces that a target was ordered to load weights. @pre none.
   void AnnounceOrder(const Runner& runner, const std::string& model,
                      std::uint64_t version);
@@ -115,6 +129,7 @@
   std::map<std::string, Router> routers_;
   RuntimeClock::time_point sent_at_;
   RuntimeClock::time_point rollout_announced_at_;
+  std::map<std::string, FieldHandler> handlers_;
   wire::PeerBus bus_;
   std::vector<PartHint> new_parts_;
   std::map<std::uint64_t, std::pair<int, std::uint64_t>> sent_loads_;
--- a/src/fleet/record_relay.cc
+++ b/src/fleet/record_relay.cc
@@ -65,19 +65,21 @@
 }
 
 std::string Encode(const RelayRequest& request) {
-  return Pack({request.operator_next, request.targets_next});
+  return Pack(
+      {request.operator_next, request.targets_next, request.quarantine_next});
 }
 
 std::string Encode(const RelayAnswer& answer) {
   return Pack({answer.proof_age.count(), ToJson(answer.operator_page),
-               ToJson(answer.targets_page)});
+               ToJson(answer.targets_page), ToJson(answer.quarantine_page)});
 }
 
 std::optional<RelayRequest> DecodeRelayRequest(const std::string& message) {
   try {
     const json body = json::from_msgpack(message);
     return RelayRequest{body.at(0).get<std::uint64_t>(),
-                        body.at(1).get<std::uint64_t>()};
+                        body.at(1).get<std::uint64_t>(),
+                        body.at(2).get<std::uint64_t>()};
   } catch (const json::exception&) {
     return std::nullopt;
   }
@@ -90,6 +92,7 @@
     answer.proof_age = milliseconds(body.at(0).get<std::int64_t>());
     answer.operator_page = ToPage(body.at(1));
     answer.targets_page = ToPage(body.at(2));
+    answer.quarantine_page = ToPage(body.at(3));
     return answer;
   } catch (const json::exception&) {
     return std::nullopt;
@@ -101,7 +104,8 @@
   if (!request || !is_store_up_) return "";
   auto operator_page = operator_tail_.ReadFrom(request->operator_next);
   auto targets_page = targets_tail_.ReadFrom(request->targets_next);
-  if (!operator_page || !targets_page) return "";
+  auto quarantine_page = quarantine_tail_.ReadFrom(request->quarantine_next);
+  if (!operator_page || !targets_page || !quarantine_page) return "";
   RelayAnswer answer;
   const auto age = freshness_.Age(BootClock::now());
   if (age) {
@@ -109,6 +113,7 @@
   }
   answer.operator_page = std::move(*operator_page);
   answer.targets_page = std::move(*targets_page);
+  answer.quarantine_page = std::move(*quarantine_page);
   return Encode(answer);
 }
 
--- a/src/fleet/record_relay.h
+++ b/src/fleet/record_relay.h
@@ -44,6 +44,7 @@
 struct RelayRequest {
   std::uint64_t operator_next = 0;
   std::uint64_t targets_next = 0;
+  std::uint64_t quarantine_next = 0;
 };
 
 /// Answer of a reader.
@@ -53,6 +54,7 @@
   std::chrono::milliseconds proof_age{-1};
   platform::RecordPage operator_page;
   platform::RecordPage targets_page;
+  platform::RecordPage quarantine_page;
 };
 
 /// Encodes a request or an answer. @pre none. Thread-safe.
@@ -70,6 +72,7 @@
 
   RecordTail& operator_tail() { return operator_tail_; }
   RecordTail& targets_tail() { return targets_tail_; }
+  RecordTail& quarantine_tail() { return quarantine_tail_; }
   /// Sets whether this router can read the store; if not, followers get an
   /// empty answer and read elsewhere. @pre none.
   void set_is_store_up(bool is_store_up) { is_store_up_ = is_store_up; }
@@ -82,6 +85,7 @@
   const Freshness& freshness_;
   RecordTail operator_tail_;
   RecordTail targets_tail_;
+  RecordTail quarantine_tail_;
   bool is_store_up_ = true;
 };
 
--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -89,16 +89,19 @@
 }
 
 RunnerProtocol::RunnerProtocol(Fleet& fleet, Peers& peers,
+                               PartQuarantine& quarantine,
                                const PlacementSettings& settings,
                                FleetMetrics& metrics,
                                const net::Request& received,
-                               RoutedRequest& routed)
+                               RoutedRequest& routed, PromptRequest& prompt)
     : fleet_(fleet),
       peers_(peers),
+      quarantine_(quarantine),
       placement_settings_(settings),
       metrics_(metrics),
       caller_request_(received),
-      routed_(routed) {
+      routed_(routed),
+      prompt_(prompt) {
   if (routed.route->is_stream && IsIdempotent()) {
     relay_.emplace(routed.request.last_event_id);
   }
@@ -119,6 +122,7 @@
     return Error{ErrorId::kDeadlineExceeded, "the deadline passed",
                  Verdict::kNotRun};
   }
+  if (auto refusal = quarantine_.FindQuarantined(prompt_)) return *refusal;
   const PlacementInput input{*routed_.service, routed_.account, routed_.request,
                              tried_targets_};
   auto choice =
@@ -157,9 +161,8 @@
 }
 
 net::Request RunnerProtocol::Encode(const Target& target) {
-  sent_at_ = RuntimeClock::now();
-  head_at_.reset();
-  body_at_.reset();
+  prompt_.OnSent(choice_.runner, RuntimeClock::now());
+  has_failure_answer_ = false;
   platform::TargetRequestOptions call;
   call.target_id = target.id;
   call.time_left = std::max(milliseconds(1), routed_.TimeLeft());
@@ -205,6 +208,7 @@
   Runner& runner = *choice_.runner;
   runner.last_received_at = now;
   if (facts.running) runner.RecordLoad(*facts.running, *facts.waiting, now);
+  has_failure_answer_ = facts.is_not_run;
   if (facts.is_not_run) {
     constexpr int kMisdirectedRequest = 421;
     const DesiredWeightsState desired =
@@ -228,7 +232,7 @@
   const bool is_success =
       facts.status < kMultipleChoices && facts.is_sealed && !facts.is_encoded;
   if (is_success) {
-    head_at_ = now;
+    prompt_.OnHead(now);
     runner.ClearSuspicion();
     metrics_.first_byte.Record(now - routed_.started);
     // The prefill is complete; decoding does not delay the prefill of others.
@@ -240,6 +244,7 @@
     expected_parts_.clear();
     return {Classification::Kind::kRelay, {}};
   }
+  has_failure_answer_ = true;
   Error error{
       ErrorId::kTargetFailed,
       fmt::format("{} answered with status {}", target.id, facts.status),
@@ -288,9 +293,8 @@
 }
 
 Result<std::string> RunnerProtocol::Feed(std::string bytes) {
-  const auto now = RuntimeClock::now();
-  choice_.runner->last_received_at = now;
-  if (!body_at_) body_at_ = now;
+  choice_.runner->last_received_at = RuntimeClock::now();
+  quarantine_.OnProgress(prompt_);
   if (!relay_) return bytes;
   return relay_->Feed(bytes);
 }
@@ -322,8 +326,12 @@
 void RunnerProtocol::OnAttemptEnd(const Target& target, const Error* error) {
   ReleaseLoad();
   if (relay_) relay_->DiscardPartial();
-  if (error == nullptr) return;
+  if (error == nullptr) {
+    quarantine_.OnComplete(prompt_);
+    return;
+  }
   RetractExpectedParts();
+  if (IsBrokenOff(*error)) quarantine_.OnBroken(prompt_);
   const bool is_unreachable = error->id == ErrorId::kTargetUnreachable ||
                               error->id == ErrorId::kTargetSilent;
   const auto now = RuntimeClock::now();
@@ -349,12 +357,19 @@
                   {"error", Name(error.id)},
                   {"message", error.message},
                   {"verdict", ToString(error.verdict)},
-                  {"sent_ms_ago", MillisSince(sent_at_)},
-                  {"head_ms_ago", MillisSince(head_at_)},
-                  {"body_ms_ago", MillisSince(body_at_)},
+                  {"sent_ms_ago", MillisSince(prompt_.sent_at())},
+                  {"head_ms_ago", MillisSince(prompt_.head_at())},
+                  {"body_ms_ago", MillisSince(prompt_.body_at())},
                   {"time_left_ms", routed_.TimeLeft().count()}});
 }
 
+bool RunnerProtocol::IsBrokenOff(const Error& error) const {
+  const bool is_broken =
+      error.id == ErrorId::kTargetFailed || error.id == ErrorId::kStreamBroken;
+  return is_broken && !has_failure_answer_ &&
+         error.verdict != Verdict::kNotRun && !prompt_.parts().empty();
+}
+
 bool RunnerProtocol::ShouldRetry(Error& error, int attempts) {
   // Bounds all attempts, including those that reach no target.
   constexpr int kMaxTries = 6;
@@ -363,6 +378,7 @@
   }
   const bool is_safe = error.verdict == Verdict::kNotRun || IsIdempotent();
   if (!is_safe) return false;
+  if (IsBrokenOff(error) && quarantine_.IsRepeatUnsafe(prompt_)) return false;
   if (delivered_ == 0) return true;
   if (possible_runs_ >= routed_.route->max_attempts) return false;
   RetryWindow& budget = fleet_.BudgetOf(routed_.service->name);
--- a/src/fleet/runner_protocol.h
+++ b/src/fleet/runner_protocol.h
@@ -13,6 +13,7 @@
 #include "src/exchange/engine.h"
 #include "src/fleet/event_relay.h"
 #include "src/fleet/fleet.h"
+#include "src/fleet/part_quarantine.h"
 #include "src/fleet/peers.h"
 #include "src/fleet/placement.h"
 
@@ -58,9 +59,10 @@
 class RunnerProtocol {
  public:
   /// @pre all arguments outlive the protocol.
-  RunnerProtocol(Fleet& fleet, Peers& peers, const PlacementSettings& settings,
-                 FleetMetrics& metrics, const net::Request& received,
-                 RoutedRequest& routed);
+  RunnerProtocol(Fleet& fleet, Peers& peers, PartQuarantine& quarantine,
+                 const PlacementSettings& settings, FleetMetrics& metrics,
+                 const net::Request& received, RoutedRequest& routed,
+                 PromptRequest& prompt);
   ~RunnerProtocol();
   RunnerProtocol(const RunnerProtocol&) = delete;
   RunnerProtocol& operator=(const RunnerProtocol&) = delete;
@@ -95,6 +97,8 @@
   bool IsIdempotent() const {
     return routed_.route->repeatability == Repeatability::kIdempotent;
   }
+  // Whether the connection ended before the target had answered.
+  bool IsBrokenOff(const Error& error) const;
   // Removes this request from the load counted for its runner.
   void ReleaseLoad();
   // Records that the chosen runner is about to cache the parts that it lacks,
@@ -109,10 +113,12 @@
 
   Fleet& fleet_;
   Peers& peers_;
+  PartQuarantine& quarantine_;
   const PlacementSettings& placement_settings_;
   FleetMetrics& metrics_;
   const net::Request& caller_request_;
   RoutedRequest& routed_;
+  PromptRequest& prompt_;
   std::vector<std::string> tried_targets_;
   PlacementDecision choice_;
   bool is_load_counted_ = false;
@@ -123,11 +129,8 @@
   int delivered_ = 0;
   // Number of targets at which the request may have run.
   int possible_runs_ = 0;
-  // Times of the current attempt: when it was sent, and when the head and the
-  // first part of the answer's body arrived.
-  RuntimeClock::time_point sent_at_;
-  std::optional<RuntimeClock::time_point> head_at_;
-  std::optional<RuntimeClock::time_point> body_at_;
+  // Whether the target answered the current attempt with a failure.
+  bool has_failure_answer_ = false;
   std::optional<EventRelay> relay_;
 };
 
--- a/src/fleet/store_follower.cc
+++ b/src/fleet/store_follower.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "platform/config_codec.h"
+#include "src/fleet/part_quarantine.h"
 #include "src/fleet/peers.h"
 #include "src/telemetry/log.h"
 
@@ -20,6 +21,9 @@
 // Targets write about once a second each. The interval is well below the time
 // in which requests to a leaving target must end.
 constexpr milliseconds kTargetReadInterval{700};
+// Duration of a long poll for the quarantine's records. Peers announce them as
+// well; the poll serves routers that missed an announcement.
+constexpr milliseconds kQuarantinePollTimeout{2500};
 // Interval of the calls to the zone's reader, which put no load on the store.
 constexpr milliseconds kRelayReadInterval{400};
 constexpr milliseconds kRetryBackoff{150};
@@ -183,18 +187,60 @@
   co_return true;
 }
 
+awaitable<void> StoreFollower::FollowQuarantine() {
+  for (;;) {
+    if (quarantine_next_ && IsRelayActive()) {
+      co_await net::Sleep(kRetryBackoff);
+      continue;
+    }
+    const bool ok = co_await ReadQuarantine();
+    if (!ok) {
+      co_await net::Sleep(kRetryBackoff);
+    }
+  }
+}
+
+awaitable<bool> StoreFollower::ReadQuarantine() {
+  const std::string topic(platform::kQuarantineTopic);
+  if (!quarantine_next_) {
+    auto page = co_await store_.ReadNewest(topic);
+    if (!page.ok()) co_return false;
+    quarantine_->OnRecordSet(page.value());
+    quarantine_next_ = page.value().next;
+    const platform::RecordPage empty{{}, *quarantine_next_};
+    relay_.quarantine_tail().Add(*quarantine_next_, empty);
+    co_return true;
+  }
+  const std::uint64_t from = *quarantine_next_;
+  auto page = co_await store_.Read(topic, from, kQuarantinePollTimeout);
+  if (!page.ok()) co_return false;
+  if (!page.value()) {
+    quarantine_next_.reset();
+    co_return true;
+  }
+  // A relayed answer may have advanced the offset during this read.
+  if (from == *quarantine_next_) ApplyQuarantine(*page.value());
+  co_return true;
+}
+
+void StoreFollower::ApplyQuarantine(const platform::RecordPage& page) {
+  for (const auto& record : page.records) quarantine_->OnRecord(record);
+  relay_.quarantine_tail().Add(*quarantine_next_, page);
+  quarantine_next_ = page.next;
+}
+
 bool StoreFollower::IsRelayActive() const {
   return relayed_at_ && RuntimeClock::now() - *relayed_at_ < kRelayLifetime;
 }
 
 awaitable<bool> StoreFollower::ReadFromRelay() {
-  if (peers_ == nullptr || !operator_next_ || !targets_next_) {
-    co_return false;
-  }
+  const bool has_read_all = operator_next_ && targets_next_ && quarantine_next_;
+  if (peers_ == nullptr || !has_read_all) co_return false;
   const auto reader = peers_->ZoneReader();
   if (!reader) co_return false;
   const auto sent = BootClock::now();
-  const RelayRequest request{*operator_next_, *targets_next_};
+  const RelayRequest request{*operator_next_, *targets_next_,
+                             *quarantine_next_};
   auto reply =
       co_await relay_client_.Call(*reader, Encode(request), kRelayTimeout);
   std::optional<RelayAnswer> answer;
@@ -216,6 +262,9 @@
   for (const auto& record : answer->targets_page.records) ApplyTarget(record);
   relay_.targets_tail().Add(request.targets_next, answer->targets_page);
   targets_next_ = answer->targets_page.next;
+  if (request.quarantine_next == quarantine_next_) {
+    ApplyQuarantine(answer->quarantine_page);
+  }
   // The reader determined the age of its proof after the request was sent.
   freshness_.OnReadResponse(sent - answer->proof_age, false, {});
   relayed_at_ = RuntimeClock::now();
--- a/src/fleet/store_follower.h
+++ b/src/fleet/store_follower.h
@@ -1,5 +1,6 @@
 /// @file
-/// Follows the operator's and the targets' topics in the platform's store.
+/// Follows the operator's, the targets' and the quarantine's topics in the
+/// platform's store.
 #ifndef BERYLLANE_SRC_FLEET_STORE_FOLLOWER_H_
 #define BERYLLANE_SRC_FLEET_STORE_FOLLOWER_H_
 
@@ -16,6 +17,7 @@
 
 namespace beryllane::fleet {
 
+class PartQuarantine;
 class Peers;
 
 /// Keeps a `Fleet` up to date with records that this router reads from the
@@ -33,10 +35,17 @@
   /// `peers` outlives the follower.
   void set_peers(Peers* peers) { peers_ = peers; }
 
+  /// Sets the receiver of the quarantine's records. @pre called before
+  /// `FollowQuarantine`; `quarantine` outlives the follower.
+  void set_quarantine(PartQuarantine* quarantine) { quarantine_ = quarantine; }
+
   /// Follows the operator's topic until the loop stops. @pre called once.
   net::asio::awaitable<void> FollowOperator();
   /// Follows the targets' topic until the loop stops. @pre called once.
   net::asio::awaitable<void> FollowTargets();
+  /// Follows the quarantine's topic until the loop stops. @pre called once;
+  /// a quarantine is set.
+  net::asio::awaitable<void> FollowQuarantine();
 
   /// Up to which time the operator's records are known to be complete. @pre
   /// none.
@@ -51,12 +60,14 @@
  private:
   net::asio::awaitable<bool> ReadOperator();
   net::asio::awaitable<bool> ReadTargets();
+  net::asio::awaitable<bool> ReadQuarantine();
   // Reads both topics from the zone's reader; false if there is none, it does
   // not answer or its records may be outdated.
   net::asio::awaitable<bool> ReadFromRelay();
   bool IsRelayActive() const;
   void ApplyOperator(const platform::KeyedRecord& record);
   void ApplyTarget(const platform::KeyedRecord& record);
+  void ApplyQuarantine(const platform::RecordPage& page);
   void ApplyTargetSet(const platform::RecordPage& page);
   void RemoveTarget(const std::string& id);
   void RemoveDueTargets();
@@ -68,6 +79,7 @@
   std::function<void()> on_config_;
   std::function<void()> on_weights_;
   Peers* peers_ = nullptr;
+  PartQuarantine* quarantine_ = nullptr;
   Freshness freshness_;
   RecordRelay relay_{freshness_};
   std::optional<RuntimeClock::time_point> relayed_at_;
@@ -75,6 +87,7 @@
   // read.
   std::optional<std::uint64_t> operator_next_;
   std::optional<std::uint64_t> targets_next_;
+  std::optional<std::uint64_t> quarantine_next_;
   bool has_targets_ = false;
   bool is_up_ = true;
   std::optional<RuntimeClock::time_point> targets_failing_since_;
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -384,10 +384,13 @@
   RelayAnswer answer;
   answer.proof_age = milliseconds(7);
   answer.operator_page = Page(3, 2);
+  answer.quarantine_page = Page(7, 1);
   const auto decoded = DecodeRelayAnswer(Encode(answer));
   ASSERT_TRUE(decoded);
   EXPECT_EQ(decoded->proof_age, milliseconds(7));
   EXPECT_EQ(decoded->operator_page.records[1].value, std::string("v\0", 2));
+  EXPECT_EQ(decoded->quarantine_page.records.size(), 1U);
+  EXPECT_EQ(decoded->quarantine_page.next, 8U);
   EXPECT_FALSE(DecodeRelayAnswer("text"));
   EXPECT_FALSE(DecodeRelayAnswer(""));
   EXPECT_FALSE(DecodeRelayRequest(Encode(answer).substr(0, 3)));
