Take a stream that ends inside an event for broken on every route

What callers saw: on a route whose streams may not be resumed, a stream without length and chunks that its runner broke off inside an event ended with the last chunk, as if it were complete.

Cause: only routes with resumable streams tracked where events end.

Evidence: a scripted target closes inside the second event; TargetBytes.AStreamThatEndsInsideAnEventNeverLooksComplete failed on the code before.

Change: each answer with the content type of event streams goes through EventRelay. It takes carriage returns before the line ends too, as the format allows.

Why it works: the end of the connection completes a stream only if nothing of an event waits.

--- a/src/fleet/event_relay.cc
+++ b/src/fleet/event_relay.cc
@@ -7,7 +7,18 @@
 namespace beryllane::fleet {
 namespace {
 
-constexpr std::string_view kEventEnd = "\n\n";
+// Returns the length of the first event with its empty line; `npos` if it is
+// incomplete.
+std::size_t EventLength(std::string_view bytes) {
+  std::size_t at = bytes.find('\n');
+  while (at != std::string_view::npos) {
+    std::size_t next = at + 1;
+    if (next < bytes.size() && bytes[next] == '\r') ++next;
+    if (next < bytes.size() && bytes[next] == '\n') return next + 1;
+    at = bytes.find('\n', at + 1);
+  }
+  return std::string_view::npos;
+}
 
 // Returns the id of an event, from its line `id: N`.
 std::optional<std::uint64_t> IdOf(std::string_view event) {
@@ -37,9 +48,9 @@
   std::string out;
   std::string_view rest = partial_;
   for (;;) {
-    const std::size_t end = rest.find(kEventEnd);
-    if (end == std::string_view::npos) break;
-    const std::string_view event = rest.substr(0, end + kEventEnd.size());
+    const std::size_t length = EventLength(rest);
+    if (length == std::string_view::npos) break;
+    const std::string_view event = rest.substr(0, length);
     rest.remove_prefix(event.size());
     const auto id = IdOf(event);
     const bool is_known = id && last_id_ && *id <= *last_id_;
--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -233,6 +233,9 @@
       facts.status < kMultipleChoices && facts.is_sealed && !facts.is_encoded;
   if (is_success) {
     prompt_.OnHead(now);
+    const bool has_events = net::Header(answer.head(), "Content-Type")
+                                .starts_with("text/event-stream");
+    if (IsStream(answer) && has_events && !relay_) relay_.emplace(std::nullopt);
     runner.ClearSuspicion();
     metrics_.first_byte.Record(now - routed_.started);
     // The prefill is complete; decoding does not delay the prefill of others.
--- a/src/fleet/runner_protocol.h
+++ b/src/fleet/runner_protocol.h
@@ -131,6 +131,8 @@
   int possible_runs_ = 0;
   // Whether the target answered the current attempt with a failure.
   bool has_failure_answer_ = false;
+  // Keeps events whole; on routes whose streams may be resumed also between
+  // targets.
   std::optional<EventRelay> relay_;
 };
 
--- /dev/null
+++ b/tests/src/process-target_bytes.cpp
@@ -0,0 +1,176 @@
+// Targets that send unusual or endless bytes, as scripted TCP servers behind a
+// router.
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <thread>
+
+#include "src/net/runtime.h"
+#include "tests/support/platform_fleet.h"
+
+namespace beryllane::testing {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr std::string_view kLastChunk = "0\r\n\r\n";
+
+// Answers each request with fixed bytes, then repeats others until the router
+// closes the connection, or closes it if there are none.
+class ScriptedTarget {
+ public:
+  ScriptedTarget(std::string answer, std::string repeated)
+      : answer_(std::move(answer)),
+        repeated_(std::move(repeated)),
+        acceptor_(loop_, {net::asio::ip::make_address("127.0.0.1"), 0}),
+        thread_([this] { Serve(); }) {}
+  ~ScriptedTarget() {
+    is_stopping_ = true;
+    net::error_code ignored;
+    net::tcp::socket(loop_).connect(acceptor_.local_endpoint(), ignored);
+    thread_.join();
+  }
+  ScriptedTarget(const ScriptedTarget&) = delete;
+  ScriptedTarget& operator=(const ScriptedTarget&) = delete;
+
+  net::Address address() const {
+    return {"127.0.0.1", acceptor_.local_endpoint().port()};
+  }
+  // Most bytes that the router took on one connection.
+  std::size_t most_bytes() const { return most_bytes_; }
+  int requests() const { return requests_; }
+
+ private:
+  void Serve() {
+    for (;;) {
+      net::tcp::socket socket = acceptor_.accept();
+      if (is_stopping_) return;
+      net::error_code code;
+      std::string request;
+      net::asio::read_until(socket, net::asio::dynamic_buffer(request),
+                            "\r\n\r\n", code);
+      if (code) continue;
+      ++requests_;
+      std::size_t sent =
+          net::asio::write(socket, net::asio::buffer(answer_), code);
+      while (!repeated_.empty() && !code && !is_stopping_) {
+        sent += net::asio::write(socket, net::asio::buffer(repeated_), code);
+        most_bytes_ = std::max(most_bytes_.load(), sent);
+      }
+    }
+  }
+
+  std::string answer_;
+  std::string repeated_;
+  net::asio::io_context loop_;
+  net::tcp::acceptor acceptor_;
+  std::atomic<bool> is_stopping_{false};
+  std::atomic<std::size_t> most_bytes_{0};
+  std::atomic<int> requests_{0};
+  std::thread thread_;
+};
+
+class TargetBytes : public ::testing::Test {
+ protected:
+  // Bytes of one answer that a router may hold.
+  static constexpr std::size_t kMaxAnswerBytes = 16 * 1024 * 1024;
+
+  // Makes `target` the only one of a service.
+  void Register(const ScriptedTarget& target, const std::string& service) {
+    for (int i = 0; i < PlatformFleet::kRunners; ++i) fleet_.runner(i).Kill();
+    for (int i = 0; i < PlatformFleet::kDesks; ++i) fleet_.desk(i).Kill();
+    for (const char* id :
+         {"runner-0", "runner-1", "runner-2", "desk-0", "desk-1"}) {
+      fleet_.ControlStore(
+          {{"drop", {{"topic", "keyed.servers"}, {"key", id}}}});
+    }
+    const json models = json::array({{{"name", PlatformFleet::kModel},
+                                      {"version", 1},
+                                      {"adapters", json::array()}}});
+    fleet_.Put("keyed.servers", "scripted",
+               {{"service", service},
+                {"address", net::ToString(target.address())},
+                {"zone", "zone-a"},
+                {"version", "v1"},
+                {"slots", 8},
+                {"state", "ready"},
+                {"coldRemainingMs", 0},
+                {"models", models},
+                {"sequence", 1},
+                {"born", 1}});
+    EXPECT_TRUE(
+        Eventually([&] { return fleet_.Metric(0, "beryllane_targets") == 1; }));
+  }
+  std::string Chat(const std::string& path) const {
+    return CallRaw(
+        fleet_.router_address(0),
+        "POST " + path + " HTTP/1.1\r\nHost: " + PlatformFleet::kHost +
+            "\r\nCredential: " + PlatformFleet::kKey +
+            "\r\nAttempt-Id: c\r\nModel: m1\r\nToken-Usage: 10,20\r\n"
+            "Prompt-Prefix: a:5,b:5\r\nDeadline-Ms: 3000\r\n"
+            "Connection: close\r\nContent-Length: 0\r\n\r\n",
+        milliseconds(4000));
+  }
+
+  PlatformFleet fleet_;
+};
+
+std::string StreamHead() {
+  return "HTTP/1.1 200 OK\r\nResponse-Seal: s\r\n"
+         "Content-Type: text/event-stream\r\n\r\n";
+}
+
+TEST_F(TargetBytes, AnAnswerWithNeitherLengthNorChunksEndsWithItsConnection) {
+  const ScriptedTarget target("HTTP/1.1 200 OK\r\nResponse-Seal: s\r\n\r\nall",
+                              "");
+  Register(target, "desk");
+  const auto answer = fleet_.Send(0, "/book/x", "r");
+  ASSERT_TRUE(answer.ok());
+  EXPECT_EQ(answer.value().result_int(), 200U);
+  EXPECT_EQ(answer.value().body(), "all");
+}
+
+TEST_F(TargetBytes, AStreamWithNeitherLengthNorChunksEndsAfterItsLastEvent) {
+  const ScriptedTarget target(StreamHead() + "id: 1\ndata: a\n\n", "");
+  Register(target, "scribe");
+  for (const char* path : {"/chat/x", "/advice/x"}) {
+    const std::string answer = Chat(path);
+    EXPECT_NE(answer.find("data: a\n\n"), std::string::npos) << answer;
+    EXPECT_TRUE(answer.ends_with(kLastChunk)) << answer;
+  }
+}
+
+TEST_F(TargetBytes, AStreamThatEndsInsideAnEventNeverLooksComplete) {
+  const ScriptedTarget target(StreamHead() + "id: 1\ndata: a\n\nid: 2\nda", "");
+  Register(target, "scribe");
+  for (const char* path : {"/chat/x", "/advice/x"}) {
+    const std::string answer = Chat(path);
+    EXPECT_NE(answer.find("data: a\n\n"), std::string::npos) << answer;
+    EXPECT_FALSE(answer.ends_with(kLastChunk)) << answer;
+  }
+}
+
+TEST_F(TargetBytes, AHeadWithoutEndIsCutAtABound) {
+  const ScriptedTarget target("HTTP/1.1 200 OK\r\n", "X-More: of the same\r\n");
+  Register(target, "desk");
+  const auto answer = fleet_.Send(0, "/book/x", "r");
+  ASSERT_TRUE(answer.ok());
+  EXPECT_EQ(answer.value().result_int(), 502U);
+  EXPECT_LT(target.most_bytes(), kMaxAnswerBytes);
+}
+
+TEST_F(TargetBytes, BytesThatAreNoAnswerAreCutAtABound) {
+  const ScriptedTarget target("", std::string(65536, 'x'));
+  Register(target, "desk");
+  const auto answer = fleet_.Send(0, "/book/x", "r");
+  ASSERT_TRUE(answer.ok());
+  EXPECT_EQ(answer.value().result_int(), 502U);
+  EXPECT_LT(target.most_bytes(), kMaxAnswerBytes);
+}
+
+}  // namespace
+}  // namespace beryllane::testing
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -302,6 +302,15 @@
   EXPECT_FALSE(relay.Feed("id: 4\ndata: d\n\n").ok());
 }
 
+TEST(FleetEvents, AnEventMayEndItsLinesWithCarriageReturns) {
+  EventRelay relay(std::nullopt);
+  EXPECT_EQ(relay.Feed("id: 1\r\ndata: a\r\n\r\nid: 2\r\n").value(),
+            "id: 1\r\ndata: a\r\n\r\n");
+  EXPECT_FALSE(relay.is_at_event_end());
+  EXPECT_EQ(relay.Feed("data: b\r\n\r\n").value(), "id: 2\r\ndata: b\r\n\r\n");
+  EXPECT_TRUE(relay.is_at_event_end());
+}
+
 RC_GTEST_PROP(FleetEvents, AnyCutsGiveTheSameStream, ()) {
   std::string whole;
   for (int i = 1; i <= 12; ++i) {
