Bound the answers that are held in memory

What callers saw: nothing yet. A target that sends a body without end makes a router hold 64 MiB for each request; a host has 110 MB.

Cause: the only bound was the HTTP parser's, made for streams that pass through. Where a body drips, each byte also started the wait until the deadline anew.

TargetBytes.ABodyThatDripsIsCutAtTheDeadline is new and was not run on the code before.

Change: bodies held until they are complete end at 8 MiB, in the forwarder for all protocols and in HttpClient::Call; the wait for the next bytes follows the deadline.

Why it works: memory for one answer is at most 8 MiB and one read.

--- a/src/exchange/engine.cc
+++ b/src/exchange/engine.cc
@@ -19,6 +19,8 @@
 
 // Limit on the responses to other requests that are skipped on one connection.
 constexpr int kMaxMismatchedResponses = 4;
+// Limit on a response that is held in memory until it is complete.
+constexpr std::size_t kMaxBufferedBytes = 8 * 1024 * 1024;
 
 }  // namespace
 
@@ -115,10 +117,13 @@
     net::AnswerStream& response, const Target& target) {
   std::string body;
   for (;;) {
+    response.set_answer_timeout(
+        CallProtocol(protocol_, [](auto& d) { return d.ProgressTimeout(); }));
     auto part = co_await response.Read();
     if (!part.ok()) co_return;
     if (part.value().empty()) break;
     body += part.value();
+    if (body.size() > kMaxBufferedBytes) co_return;
   }
   failure_response_ = CallProtocol(protocol_, [&](auto& d) {
     return d.BufferedResponse(response, std::move(body), target);
@@ -178,9 +183,9 @@
 awaitable<RequestForwarder::AttemptResult> RequestForwarder::RelayBuffered(
     net::AnswerStream& response, const Target& target) {
   std::string body;
-  response.set_answer_timeout(
-      CallProtocol(protocol_, [](auto& d) { return d.ProgressTimeout(); }));
   for (;;) {
+    response.set_answer_timeout(
+        CallProtocol(protocol_, [](auto& d) { return d.ProgressTimeout(); }));
     auto part = co_await response.Read();
     if (!part.ok()) {
       Error error = part.error();
@@ -189,6 +194,12 @@
     }
     if (part.value().empty()) break;
     body += part.value();
+    if (body.size() > kMaxBufferedBytes) {
+      co_return AttemptResult{
+          std::nullopt,
+          {ErrorId::kTargetAnswerInvalid,
+           target.id + " sent a body that is too large", Verdict::kRan}};
+    }
   }
   ForwardResult result;
   result.kind = ForwardResult::Kind::kResponse;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -2,6 +2,7 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/connect.hpp>
@@ -29,6 +30,8 @@
 }
 
 constexpr std::size_t kReadBytes = 16 * 1024;
+// Limit on an answer that `Call` holds in memory.
+constexpr std::size_t kMaxCallBytes = 8 * 1024 * 1024;
 
 std::int64_t Millis(nanoseconds duration) {
   return std::chrono::duration_cast<milliseconds>(duration).count();
@@ -296,6 +299,7 @@
 asio::awaitable<Result<Response>> HttpClient::Call(Address address,
                                                    Request request,
                                                    CallOptions options) {
+  options.body_limit = std::min(options.body_limit, kMaxCallBytes);
   auto opened = co_await Open(address, std::move(request), options);
   if (!opened.ok()) co_return opened.error();
   AnswerStream& answer = *opened.value();
--- a/tests/src/process-target_bytes.cpp
+++ b/tests/src/process-target_bytes.cpp
@@ -23,9 +23,11 @@
 // closes the connection, or closes it if there are none.
 class ScriptedTarget {
  public:
-  ScriptedTarget(std::string answer, std::string repeated)
+  ScriptedTarget(std::string answer, std::string repeated,
+                 milliseconds pause = milliseconds(0))
       : answer_(std::move(answer)),
         repeated_(std::move(repeated)),
+        pause_(pause),
         acceptor_(loop_, {net::asio::ip::make_address("127.0.0.1"), 0}),
         thread_([this] { Serve(); }) {}
   ~ScriptedTarget() {
@@ -60,12 +62,14 @@
       while (!repeated_.empty() && !code && !is_stopping_) {
         sent += net::asio::write(socket, net::asio::buffer(repeated_), code);
         most_bytes_ = std::max(most_bytes_.load(), sent);
+        std::this_thread::sleep_for(pause_);
       }
     }
   }
 
   std::string answer_;
   std::string repeated_;
+  milliseconds pause_;
   net::asio::io_context loop_;
   net::tcp::acceptor acceptor_;
   std::atomic<bool> is_stopping_{false};
@@ -154,6 +158,37 @@
   }
 }
 
+TEST_F(TargetBytes, ABodyWithoutEndIsCutAtABound) {
+  const ScriptedTarget target("HTTP/1.1 200 OK\r\nResponse-Seal: s\r\n\r\n",
+                              std::string(65536, 'x'));
+  Register(target, "desk");
+  const auto answer = fleet_.Send(0, "/book/x", "r");
+  ASSERT_TRUE(answer.ok());
+  EXPECT_EQ(answer.value().result_int(), 502U);
+  EXPECT_LT(target.most_bytes(), kMaxAnswerBytes);
+}
+
+TEST_F(TargetBytes, ABodyThatDripsIsCutAtTheDeadline) {
+  const ScriptedTarget target("HTTP/1.1 200 OK\r\nResponse-Seal: s\r\n\r\n",
+                              "x", milliseconds(50));
+  Register(target, "desk");
+  const auto start = std::chrono::steady_clock::now();
+  const auto answer = fleet_.Send(0, "/book/x", "r", {{"Deadline-Ms", "600"}});
+  ASSERT_TRUE(answer.ok());
+  EXPECT_EQ(answer.value().result_int(), 504U);
+  EXPECT_LT(std::chrono::steady_clock::now() - start, milliseconds(2000));
+}
+
+TEST_F(TargetBytes, AnEventWithoutEndIsCutAtABound) {
+  const ScriptedTarget target(StreamHead() + "id: 1\ndata: ",
+                              std::string(65536, 'x'));
+  Register(target, "scribe");
+  for (const char* path : {"/chat/x", "/advice/x"}) {
+    EXPECT_FALSE(Chat(path).ends_with(kLastChunk));
+  }
+  EXPECT_LT(target.most_bytes(), kMaxAnswerBytes);
+}
+
 TEST_F(TargetBytes, AHeadWithoutEndIsCutAtABound) {
   const ScriptedTarget target("HTTP/1.1 200 OK\r\n", "X-More: of the same\r\n");
   Register(target, "desk");
