Bound the interim heads before an answer

What callers saw: nothing yet. A target that sends interim heads without end kept a request open past its deadline (over 30 s in the test).

Cause: each interim head started the wait for the next one anew, without a count.

Evidence: TargetBytes.InterimHeadsWithoutEndAreCutAtABound failed on the code before.

Change: after eight interim heads the answer is invalid.

Why it works: no sequence of heads passes the count.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -90,7 +90,8 @@
 
 asio::awaitable<Result<Done>> AnswerStream::ReadHead() {
   constexpr int kFinalStatus = 200;
-  for (;;) {
+  constexpr int kMaxInterimHeads = 8;
+  for (int heads = 0; heads <= kMaxInterimHeads; ++heads) {
     Watchdog& watchdog = connection_->watchdog;
     watchdog.Arm(options_.answer_timeout);
     const auto [code, bytes] = co_await http::async_read_header(
@@ -109,6 +110,9 @@
     if (status() >= kFinalStatus) co_return Done{};
     ResetParser();
   }
+  co_return MakeError(ErrorId::kTargetAnswerInvalid, connection_->address,
+                      "too many interim answers",
+                      ExchangeStage::kRequestWritten);
 }
 
 asio::awaitable<Result<Done>> AnswerStream::SkipAnswer() {
--- a/tests/src/process-target_bytes.cpp
+++ b/tests/src/process-target_bytes.cpp
@@ -198,6 +198,15 @@
   EXPECT_LT(target.most_bytes(), kMaxAnswerBytes);
 }
 
+TEST_F(TargetBytes, InterimHeadsWithoutEndAreCutAtABound) {
+  const ScriptedTarget target("", "HTTP/1.1 100 Continue\r\n\r\n");
+  Register(target, "desk");
+  const auto answer = fleet_.Send(0, "/book/x", "r");
+  ASSERT_TRUE(answer.ok());
+  EXPECT_EQ(answer.value().result_int(), 502U);
+  EXPECT_LT(target.most_bytes(), kMaxAnswerBytes);
+}
+
 TEST_F(TargetBytes, BytesThatAreNoAnswerAreCutAtABound) {
   const ScriptedTarget target("", std::string(65536, 'x'));
   Register(target, "desk");
