Read and log the rate limits that targets name

Cause of this change: the limit was in no log line and no metric, so that nobody could see which target had named one, when, and when it ended. Change: the platform's codec reads the limit of an answer; SharedLimit keeps it for each target. An answer without one lifts it only if its request was sent after the limit was named, as answers overtake each other. 'target-limit' and beryllane_fleet_limited_targets show it. SharedLimit also holds the share of one host, which nothing uses yet.

--- /dev/null
+++ b/include/beryllane/limit/shared_limit.h
@@ -0,0 +1,103 @@
+/// @file
+/// One host's share of a rate limit that several hosts observe together.
+#ifndef BERYLLANE_LIMIT_SHARED_LIMIT_H_
+#define BERYLLANE_LIMIT_SHARED_LIMIT_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "beryllane/clock/runtime_clock.h"
+
+namespace beryllane {
+
+/// An event rate that forgets exponentially. Not thread-safe.
+class DecayingRate {
+ public:
+  static constexpr std::chrono::seconds kTimeConstant{2};
+
+  /// Counts one event. @pre none.
+  void Count(RuntimeClock::time_point now);
+  /// Events per second. @pre none.
+  double PerSecond(RuntimeClock::time_point now) const;
+
+ private:
+  double events_ = 0;
+  RuntimeClock::time_point updated_at_;
+};
+
+/// The limit that a target has named, in requests per second of all hosts, and
+/// this host's share of it. Hosts tell each other their demand; each takes the
+/// share that its demand has in the sum, so that the shares add up to the
+/// limit. A host whose demand is unknown is assumed to have as much as this
+/// one. Not thread-safe.
+class SharedLimit {
+ public:
+  /// A report of another host's demand is valid for this long.
+  static constexpr std::chrono::milliseconds kReportLifetime{1500};
+  /// Used for lower limits, so that an answer tells when they end.
+  static constexpr double kMinPerSecond = 0.2;
+  /// Requests that an idle host may save up, as time at its share; at least
+  /// one.
+  static constexpr std::chrono::milliseconds kBurst{500};
+  /// Limits heard from other hosts within this time after an own answer are
+  /// older than the answer.
+  static constexpr std::chrono::milliseconds kPeerLag{1000};
+
+  /// An answer to a request that was sent at `sent_at` named a limit of
+  /// `per_second`; `per_second` is negative if it named none. Returns whether
+  /// the limit was set, lifted or changed. @pre none.
+  bool OnAnswer(double per_second, RuntimeClock::time_point sent_at,
+                RuntimeClock::time_point now);
+  /// Another host reported the limit, negative if it is lifted, and its own
+  /// demand. @pre none.
+  void OnPeerReport(const std::string& host, double per_second, double demand,
+                    RuntimeClock::time_point now);
+
+  /// Whether a limit is in force. @pre none.
+  bool is_set() const { return per_second_ >= 0; }
+  /// The limit in requests per second of all hosts. @pre `is_set()`.
+  double per_second() const { return per_second_; }
+  /// Counts a request for which the target is the best choice. @pre none.
+  void CountDemand(RuntimeClock::time_point now) { demand_.Count(now); }
+  /// This host's demand in requests per second. @pre none.
+  double Demand(RuntimeClock::time_point now) const {
+    return demand_.PerSecond(now);
+  }
+  /// This host's share in requests per second; `live_peers` is the number of
+  /// other hosts. @pre `is_set()`.
+  double Share(int live_peers, RuntimeClock::time_point now) const;
+  /// Whether a request may be sent now. @pre none.
+  bool MaySend(int live_peers, RuntimeClock::time_point now);
+  /// Counts a request that is sent. @pre none.
+  void CountSent() { tokens_ -= is_set() ? 1 : 0; }
+  /// Time until a request may be sent; zero if one may be sent now. @pre none.
+  std::chrono::nanoseconds TimeToSend(int live_peers,
+                                      RuntimeClock::time_point now);
+
+ private:
+  struct PeerDemand {
+    double per_second = 0;
+    RuntimeClock::time_point received_at;
+  };
+
+  void Set(double per_second, RuntimeClock::time_point now);
+  void Lift();
+  void Refill(int live_peers, RuntimeClock::time_point now);
+
+  // Negative if there is no limit.
+  double per_second_ = -1;
+  // When the limit was last named, by an answer to this host or by a peer.
+  RuntimeClock::time_point named_at_;
+  // When an answer to this host last named it.
+  RuntimeClock::time_point answered_at_;
+  DecayingRate demand_;
+  std::map<std::string, PeerDemand> peer_demands_;
+  double tokens_ = 0;
+  RuntimeClock::time_point refilled_at_;
+};
+
+}  // namespace beryllane
+
+#endif  // BERYLLANE_LIMIT_SHARED_LIMIT_H_
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -16,6 +16,7 @@
 #include "beryllane/clock/boot_clock.h"
 #include "beryllane/clock/runtime_clock.h"
 #include "beryllane/limit/retry_window.h"
+#include "beryllane/limit/shared_limit.h"
 #include "src/fleet/model.h"
 #include "src/fleet/part_cache.h"
 
@@ -55,6 +56,8 @@
   /// The target refused a request because it was full. Until this time it has
   /// an additional cost.
   RuntimeClock::time_point full_until;
+  /// Limit on the requests of all routers that the target named.
+  SharedLimit limit;
   PartCache cache;
   /// When `RaiseVersion` last raised a version.
   RuntimeClock::time_point version_raised_at;
--- a/src/fleet/fleet_node.cc
+++ b/src/fleet/fleet_node.cc
@@ -115,6 +115,14 @@
   metrics_.AddCallbackGauge("beryllane_targets", "Targets on the list", [this] {
     return static_cast<double>(fleet_.targets().size());
   });
+  metrics_.AddCallbackGauge(
+      "beryllane_fleet_limited_targets", "Targets that name a rate limit",
+      [this] {
+        const auto& targets = fleet_.targets();
+        return static_cast<double>(std::count_if(
+            targets.begin(), targets.end(),
+            [](const auto& t) { return t.second->limit.is_set(); }));
+      });
   metrics_.AddCallbackGauge(
       "beryllane_log_dropped_total",
       "Log lines dropped because their reader was slow",
--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -208,6 +208,10 @@
   Runner& runner = *choice_.runner;
   runner.last_received_at = now;
   if (facts.running) runner.RecordLoad(*facts.running, *facts.waiting, now);
+  // A refusal without a limit does not show that the limit has ended.
+  if (facts.requests_per_second || facts.is_sealed) {
+    RecordLimit(facts.requests_per_second);
+  }
   has_failure_answer_ = facts.is_not_run;
   if (facts.is_not_run) {
     constexpr int kMisdirectedRequest = 421;
@@ -264,6 +268,17 @@
   return {Classification::Kind::kRelay, {}};
 }
 
+void RunnerProtocol::RecordLimit(std::optional<double> requests_per_second) {
+  SharedLimit& limit = choice_.runner->limit;
+  const bool is_change = limit.OnAnswer(requests_per_second.value_or(-1),
+                                        prompt_.sent_at(), RuntimeClock::now());
+  if (!is_change) return;
+  telemetry::Log(
+      telemetry::Level::kInfo, telemetry::event::kTargetLimit,
+      {{"target", choice_.runner->entry.id},
+       {"requests_per_second", limit.is_set() ? limit.per_second() : -1}});
+}
+
 void RunnerProtocol::ExpectCachedParts() {
   expected_parts_.clear();
   if (!routed_.service->engine) return;
--- a/src/fleet/runner_protocol.h
+++ b/src/fleet/runner_protocol.h
@@ -108,6 +108,8 @@
   // Reverts `ExpectCachedParts` after a failed attempt.
   void RetractExpectedParts();
   void LogChoice() const;
+  // Applies the limit that the target named, or that it named none.
+  void RecordLimit(std::optional<double> requests_per_second);
   void LogFailedAttempt(const exchange::Target& target,
                         const Error& error) const;
 
--- a/src/telemetry/log.h
+++ b/src/telemetry/log.h
@@ -43,6 +43,7 @@
 inline constexpr std::string_view kWeightsInPlace = "weights-in-place";
 inline constexpr std::string_view kPeersUnavailable = "peers-unavailable";
 inline constexpr std::string_view kReloaded = "reloaded";
+inline constexpr std::string_view kTargetLimit = "target-limit";
 inline constexpr std::string_view kTargetCrashed = "target-crashed";
 inline constexpr std::string_view kPartQuarantined = "part-quarantined";
 inline constexpr std::string_view kPartReleased = "part-released";
--- a/standins/runner_main.cc
+++ b/standins/runner_main.cc
@@ -60,6 +60,8 @@
   milliseconds step{0};
   // Streams break off within the event of this number; negative is never.
   int cut_at = -1;
+  // Requests a second that answers name as a limit; negative is none.
+  double limit = -1;
   // Id of the prompt part on which the process ends once it has sent the head
   // of an answer; empty is none.
   std::string deadly_part;
@@ -122,6 +124,7 @@
       faults_.ignore_orders =
           change.value("ignore_orders", faults_.ignore_orders);
       faults_.cut_at = change.value("cut_at", faults_.cut_at);
+      faults_.limit = change.value("limit", faults_.limit);
       faults_.deadly_part = change.value("deadly_part", faults_.deadly_part);
       faults_.step = milliseconds(
           change.value("step_ms", std::int64_t{faults_.step.count()}));
@@ -298,6 +301,9 @@
     if (!faults_.unsealed) answer.set("Response-Seal", "seal-of-" + id_);
     answer.set("Instance-Load", fmt::format("{},0,8", running_));
     answer.set("Keep-Alive", "timeout=5");
+    if (faults_.limit >= 0) {
+      answer.set("Server-Limit", fmt::format("{:.1f}", faults_.limit));
+    }
   }
 
   awaitable<void> CrashOnDeadlyPart(const net::Request& request) const {
--- a/tests/src/unit-platform_codec.cpp
+++ b/tests/src/unit-platform_codec.cpp
@@ -258,5 +258,16 @@
   EXPECT_FALSE(DecodeAnswer(failed.base()).is_not_run);
 }
 
+TEST(PlatformAnswers, ALimitIsADecimalNumberThatIsNotNegative) {
+  net::Response response = net::MakeResponse(200, "", "text/plain");
+  EXPECT_FALSE(DecodeAnswer(response.base()).requests_per_second);
+  response.set("Server-Limit", " 3.25 ");
+  EXPECT_EQ(DecodeAnswer(response.base()).requests_per_second, 3.25);
+  for (const char* text : {"", "-1", "nan", "inf", "3 a second", "1e999"}) {
+    response.set("Server-Limit", text);
+    EXPECT_FALSE(DecodeAnswer(response.base()).requests_per_second) << text;
+  }
+}
+
 }  // namespace
 }  // namespace beryllane::platform
