Share the limits that targets name among the routers

Cause: nothing read the limit; and it is one of all routers together, which no router can keep alone.

Change: routers report their demand for limited targets with their batches, and each takes its demand's share of the limit (SharedLimit). Each attempt counts. A target at its limit is passed over but still a source of copies; where all are, the request is refused at once with the time until the next place. One request of each share is kept for large requests, as the limit counts requests and not work.

Why it works: the shares add up to the limit whenever the routers know each other's demand, and are no larger than even shares when they do not.

--- a/include/beryllane/limit/shared_limit.h
+++ b/include/beryllane/limit/shared_limit.h
@@ -38,9 +38,11 @@
   static constexpr std::chrono::milliseconds kReportLifetime{1500};
   /// Used for lower limits, so that an answer tells when they end.
   static constexpr double kMinPerSecond = 0.2;
-  /// Requests that an idle host may save up, as time at its share; at least
-  /// one.
+  /// Requests that an idle host may save up, as time at its share.
   static constexpr std::chrono::milliseconds kBurst{500};
+  /// Saved requests that are kept for large ones (trunk reservation): a limit
+  /// counts requests, so each should carry as much work as possible.
+  static constexpr double kReserve = 1;
   /// Limits heard from other hosts within this time after an own answer are
   /// older than the answer.
   static constexpr std::chrono::milliseconds kPeerLag{1000};
@@ -55,6 +57,10 @@
   void OnPeerReport(const std::string& host, double per_second, double demand,
                     RuntimeClock::time_point now);
 
+  /// Another host sent a report that does not list the target: its demand is
+  /// negligible. @pre none.
+  void OnPeerIdle(const std::string& host, RuntimeClock::time_point now);
+
   /// Whether a limit is in force. @pre none.
   bool is_set() const { return per_second_ >= 0; }
   /// The limit in requests per second of all hosts. @pre `is_set()`.
@@ -68,11 +74,14 @@
   /// This host's share in requests per second; `live_peers` is the number of
   /// other hosts. @pre `is_set()`.
   double Share(int live_peers, RuntimeClock::time_point now) const;
-  /// Whether a request may be sent now. @pre none.
-  bool MaySend(int live_peers, RuntimeClock::time_point now);
+  /// Whether a request may be sent now; one that is not large has to leave the
+  /// reserve. @pre none.
+  bool MaySend(int live_peers, RuntimeClock::time_point now,
+               bool is_large = true);
   /// Counts a request that is sent. @pre none.
   void CountSent() { tokens_ -= is_set() ? 1 : 0; }
-  /// Time until a request may be sent; zero if one may be sent now. @pre none.
+  /// Time until a large request may be sent; zero if one may be sent now. @pre
+  /// none.
   std::chrono::nanoseconds TimeToSend(int live_peers,
                                       RuntimeClock::time_point now);
 
--- a/src/coordination/shared_limit.cc
+++ b/src/coordination/shared_limit.cc
@@ -51,6 +51,11 @@
   if (!is_outdated) Set(per_second, now);
 }
 
+void SharedLimit::OnPeerIdle(const std::string& host,
+                             RuntimeClock::time_point now) {
+  if (is_set()) peer_demands_[host] = {kIdleDemandPerSecond, now};
+}
+
 void SharedLimit::Set(double per_second, RuntimeClock::time_point now) {
   if (!is_set()) {
     tokens_ = 0;
@@ -78,8 +83,11 @@
   return per_second_ * own / sum;
 }
 
-bool SharedLimit::MaySend(int live_peers, RuntimeClock::time_point now) {
-  return TimeToSend(live_peers, now) <= std::chrono::nanoseconds(0);
+bool SharedLimit::MaySend(int live_peers, RuntimeClock::time_point now,
+                          bool is_large) {
+  if (!is_set()) return true;
+  Refill(live_peers, now);
+  return tokens_ >= (is_large ? 1 : 1 + kReserve);
 }
 
 std::chrono::nanoseconds SharedLimit::TimeToSend(int live_peers,
@@ -93,7 +101,7 @@
 
 void SharedLimit::Refill(int live_peers, RuntimeClock::time_point now) {
   const double share = Share(live_peers, now);
-  const double capacity = std::max(1.0, share * Seconds(kBurst));
+  const double capacity = std::max(1.0, share * Seconds(kBurst)) + kReserve;
   tokens_ = std::min(capacity, tokens_ + share * Seconds(now - refilled_at_));
   refilled_at_ = now;
 }
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -158,6 +158,13 @@
   for (auto& [service, budget] : budgets_) budget.set_slack(options.slack);
 }
 
+bool Fleet::AddWork(const std::string& service, double work) {
+  constexpr double kWeight = 0.02;
+  const auto [mean, is_first] = mean_work_.try_emplace(service, work);
+  mean->second += kWeight * (work - mean->second);
+  return work >= mean->second;
+}
+
 RetryWindow& Fleet::BudgetOf(const std::string& service) {
   return budgets_.try_emplace(service, retry_options_).first->second;
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -135,6 +135,14 @@
   std::vector<std::shared_ptr<Runner>> AvailableTargets(
       const std::string& service) const;
 
+  /// Adds the work of a request to the mean of its service; returns whether it
+  /// is at least the mean. @pre `work` >= 0, in any unit.
+  bool AddWork(const std::string& service, double work);
+
+  /// Number of other routers that send requests to the targets. @pre none.
+  int live_peers() const { return live_peers_; }
+  void set_live_peers(int count) { live_peers_ = count; }
+
   /// Sets the desired weights of a model; returns false if the version is not
   /// newer. `is_first_read` marks a version that may have been named long
   /// before this router started. @pre none.
@@ -162,6 +170,8 @@
   std::map<std::string, DesiredWeightsState> desired_weights_;
   std::map<std::string, RetryWindow> budgets_;
   PartCache shared_parts_;
+  int live_peers_ = 0;
+  std::map<std::string, double> mean_work_;
   RetryWindowOptions retry_options_;
 };
 
--- a/src/fleet/fleet_frontend.cc
+++ b/src/fleet/fleet_frontend.cc
@@ -165,6 +165,18 @@
   co_return result;
 }
 
+std::chrono::nanoseconds FleetFrontend::RetryAfter(
+    const Error& error, const RoutedRequest& routed,
+    const PromptRequest& prompt) const {
+  if (error.id == ErrorId::kPromptQuarantined) {
+    return quarantine_.TimeToTrial(prompt);
+  }
+  if (error.id != ErrorId::kOverloaded) return kRetryAfter;
+  const std::chrono::nanoseconds to_capacity =
+      TimeToCapacity(fleet_, routed.service->name, RuntimeClock::now());
+  return std::max<std::chrono::nanoseconds>(kRetryAfter, to_capacity);
+}
+
 awaitable<void> FleetFrontend::Handle(net::Exchange& exchange) {
   if (is_stopping_) exchange.CloseAfter();
   if (platform::IsFramingAmbiguous(exchange.request())) {
@@ -208,11 +220,8 @@
         metrics_.failed.Add();
         exchange.CloseAfter();
       } else {
-        const bool is_quarantined =
-            result.error.id == ErrorId::kPromptQuarantined;
-        co_await SendError(
-            exchange, routed.request.id, result.error,
-            is_quarantined ? quarantine_.TimeToTrial(prompt) : kRetryAfter);
+        co_await SendError(exchange, routed.request.id, result.error,
+                           RetryAfter(result.error, routed, prompt));
       }
       break;
   }
--- a/src/fleet/fleet_frontend.h
+++ b/src/fleet/fleet_frontend.h
@@ -39,6 +39,10 @@
                                       const std::string& credential) const;
   // Whether the configuration is proven recent enough to decide requests by it.
   bool IsConfigFresh() const;
+  // Time after which a request that did not run may be sent again.
+  std::chrono::nanoseconds RetryAfter(const Error& error,
+                                      const RoutedRequest& routed,
+                                      const PromptRequest& prompt) const;
   // Forwards a request until it is answered, its caller has gone or one of its
   // prompt parts is quarantined.
   net::asio::awaitable<exchange::ForwardResult> Forward(
--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -42,6 +42,14 @@
 constexpr const char* kParts = "p";
 constexpr const char* kOrders = "o";
 constexpr const char* kLease = "e";
+constexpr const char* kLimits = "m";
+// Demand in requests per second below which a batch does not list a target.
+constexpr double kMinReportedDemand = 0.05;
+// Limit that stands for none.
+constexpr double kNoLimit = -1;
+// A router that was heard from within this time may still send requests to
+// targets.
+constexpr milliseconds kSenderTimeout{5000};
 
 }  // namespace
 
@@ -72,6 +80,7 @@
         std::max(kPartInterval, routers * kPartIntervalPerRouter));
     const auto interval = std::clamp(routers * kBatchIntervalPerRouter,
                                      kBatchInterval, kMaxBatchInterval);
+    fleet_.set_live_peers(LivePeers());
     const bool is_due = RuntimeClock::now() - sent_at_ >= interval;
     if (is_due || !new_parts_.empty()) SendBatch();
   }
@@ -172,6 +181,46 @@
   bus_.Send(std::string(bytes.begin(), bytes.end()));
 }
 
+void Peers::AnnounceLimit(const Runner& runner) {
+  Broadcast(kLimits, {self_.host_id, {LimitReport(runner)}});
+}
+
+json Peers::LimitReport(const Runner& runner) {
+  const SharedLimit& limit = runner.limit;
+  return {runner.id_hash, limit.is_set() ? limit.per_second() : kNoLimit,
+          limit.Demand(RuntimeClock::now())};
+}
+
+void Peers::ReceiveLimits(const json& reports) {
+  const auto now = RuntimeClock::now();
+  const std::string host = reports.at(0);
+  for (const json& report : reports.at(1)) {
+    Runner* runner = fleet_.FindByHash(report.at(0).get<std::uint64_t>());
+    if (runner == nullptr) continue;
+    runner->limit.OnPeerReport(host, report.at(1), report.at(2), now);
+  }
+}
+
+// A batch lists the limited targets for which its sender has demand.
+void Peers::MarkIdle(const std::string& host) {
+  const auto now = RuntimeClock::now();
+  for (const auto& [id, runner] : fleet_.targets()) {
+    runner->limit.OnPeerIdle(host, now);
+  }
+}
+
+int Peers::LivePeers() const {
+  const auto now = RuntimeClock::now();
+  const auto live = static_cast<int>(
+      std::count_if(routers_.begin(), routers_.end(), [&](const auto& router) {
+        return now - router.second.last_received_at < kSenderTimeout;
+      }));
+  // A router that hears nobody is cut off itself, or has just started.
+  const bool is_new = now - started_at_ < kSenderTimeout;
+  const auto known = static_cast<int>(known_hosts_.size()) - 1;
+  return live == 0 || is_new ? std::max(live, known) : live;
+}
+
 void Peers::AnnounceOrder(const Runner& runner, const std::string& model,
                           std::uint64_t version) {
   const json message{{kOrders, {{runner.id_hash, model, version, false}}}};
@@ -210,6 +259,12 @@
     loads.push_back({runner->id_hash, load.first, load.second});
   }
   const auto now = RuntimeClock::now();
+  json limits = json::array();
+  for (const auto& [id, runner] : fleet_.targets()) {
+    const bool is_listed = runner->limit.is_set() &&
+                           runner->limit.Demand(now) >= kMinReportedDemand;
+    if (is_listed) limits.push_back(LimitReport(*runner));
+  }
   const bool is_due = now - sent_at_ >= kHeartbeatInterval;
   if (loads.empty() && new_parts_.empty() && !is_due) return;
   sent_at_ = now;
@@ -218,11 +273,12 @@
     parts.push_back({hint.runner, hint.part, hint.tokens});
   }
   new_parts_.clear();
-  const json message{{kSender,
-                      {self_.host_id, self_.availability_zone,
-                       self_.relay_address, registration_offset_.value_or(0)}},
-                     {kLoads, loads},
-                     {kParts, parts}};
+  json message{{kSender,
+                {self_.host_id, self_.availability_zone, self_.relay_address,
+                 registration_offset_.value_or(0)}},
+               {kLoads, loads},
+               {kParts, parts}};
+  if (!limits.empty()) message[kLimits] = {self_.host_id, limits};
   const auto bytes = json::to_msgpack(message);
   bus_.Send(std::string(bytes.begin(), bytes.end()));
 }
@@ -251,6 +307,8 @@
         runner->switching_until = now + kSwitchDuration;
       }
     }
+    if (body.contains(kSender)) MarkIdle(body.at(kSender).at(0));
+    if (body.contains(kLimits)) ReceiveLimits(body.at(kLimits));
     if (!body.contains(kSender)) return;
     const json& from = body.at(kSender);
     const std::string sender = from.at(0);
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -83,6 +83,8 @@
   /// Announces that this router holds the lease for orders, so that others do
   /// not have to read it from the store. @pre none.
   void AnnounceLease();
+  /// Announces that a target named or lifted a limit. @pre none.
+  void AnnounceLimit(const Runner& runner);
   /// Queues a hint that a target caches a part, for the next batch. @pre none.
   void NotePart(const Runner& runner, std::uint64_t part, std::uint32_t tokens);
   /// Retracts an earlier `NotePart`. @pre none.
@@ -117,6 +119,12 @@
 
   net::asio::awaitable<bool> Register();
   void SendBatch();
+  // Limit of a target and this router's demand for it.
+  static nlohmann::json LimitReport(const Runner& runner);
+  void ReceiveLimits(const nlohmann::json& reports);
+  void MarkIdle(const std::string& host);
+  // Number of other routers that may send requests.
+  int LivePeers() const;
   void Receive(const std::string& message);
 
   platform::StoreClient& store_;
@@ -127,6 +135,7 @@
   std::set<std::string> known_hosts_;
   // Other routers from which a message was received, by host id.
   std::map<std::string, Router> routers_;
+  RuntimeClock::time_point started_at_ = RuntimeClock::now();
   RuntimeClock::time_point sent_at_;
   RuntimeClock::time_point rollout_announced_at_;
   std::map<std::string, FieldHandler> handlers_;
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -202,28 +202,7 @@
           Verdict::kNotRun};
 }
 
-}  // namespace
-
-std::string CacheSalt(std::uint64_t version, const Account* account) {
-  const bool is_isolated = account != nullptr && account->is_isolated;
-  return is_isolated ? fmt::format("v{}.{}", version, account->name)
-                     : fmt::format("v{}", version);
-}
-
-std::vector<std::uint64_t> PartKeys(const platform::CallerRequest& request,
-                                    const std::string& salt) {
-  std::vector<std::uint64_t> keys;
-  for (std::size_t i = 0; i + 1 < request.parts.size(); ++i) {
-    keys.push_back(PartKey(salt, request.parts[i].id));
-  }
-  return keys;
-}
-
-std::uint64_t PartKey(const std::string& salt, const std::string& part_id) {
-  return ChainHash(HashBytes(salt), part_id).low;
-}
-
-Result<PlacementDecision> ChooseTarget(const Fleet& fleet,
+Result<PlacementDecision> ChooseByCost(const Fleet& fleet,
                                        const PlacementSettings& settings,
                                        const PlacementInput& input,
                                        RuntimeClock::time_point now) {
@@ -258,4 +237,66 @@
   return std::move(*best);
 }
 
+}  // namespace
+
+std::string CacheSalt(std::uint64_t version, const Account* account) {
+  const bool is_isolated = account != nullptr && account->is_isolated;
+  return is_isolated ? fmt::format("v{}.{}", version, account->name)
+                     : fmt::format("v{}", version);
+}
+
+std::vector<std::uint64_t> PartKeys(const platform::CallerRequest& request,
+                                    const std::string& salt) {
+  std::vector<std::uint64_t> keys;
+  for (std::size_t i = 0; i + 1 < request.parts.size(); ++i) {
+    keys.push_back(PartKey(salt, request.parts[i].id));
+  }
+  return keys;
+}
+
+std::uint64_t PartKey(const std::string& salt, const std::string& part_id) {
+  return ChainHash(HashBytes(salt), part_id).low;
+}
+
+Result<PlacementDecision> ChooseTarget(const Fleet& fleet,
+                                       const PlacementSettings& settings,
+                                       const PlacementInput& input,
+                                       RuntimeClock::time_point now) {
+  // Targets whose limits rule them out may still be copied from, like those
+  // that were tried.
+  std::vector<std::string> ruled_out = input.tried;
+  for (;;) {
+    const PlacementInput rest{input.service, input.account, input.request,
+                              ruled_out};
+    auto choice = ChooseByCost(fleet, settings, rest, now);
+    if (!choice.ok()) {
+      if (ruled_out.size() == input.tried.size()) return choice;
+      return Error{ErrorId::kOverloaded,
+                   fmt::format("the targets of service {} are at the limits "
+                               "that they named",
+                               input.service.name),
+                   Verdict::kNotRun};
+    }
+    Runner& runner = *choice.value().runner;
+    runner.limit.CountDemand(now);
+    if (runner.limit.MaySend(fleet.live_peers(), now, input.is_large)) {
+      return choice;
+    }
+    ruled_out.push_back(runner.entry.id);
+  }
+}
+
+std::chrono::nanoseconds TimeToCapacity(const Fleet& fleet,
+                                        const std::string& service,
+                                        RuntimeClock::time_point now) {
+  auto shortest = std::chrono::nanoseconds::max();
+  for (const auto& runner : fleet.AvailableTargets(service)) {
+    shortest =
+        std::min(shortest, runner->limit.TimeToSend(fleet.live_peers(), now));
+  }
+  return shortest == std::chrono::nanoseconds::max()
+             ? std::chrono::nanoseconds(0)
+             : shortest;
+}
+
 }  // namespace beryllane::fleet
--- a/src/fleet/placement.h
+++ b/src/fleet/placement.h
@@ -53,15 +53,25 @@
   const platform::CallerRequest& request;
   /// Ids of the targets that previous attempts used.
   const std::vector<std::string>& tried;
+  /// Whether the request is at least as much work as the mean of its service.
+  bool is_large = true;
 };
 
-/// Chooses the target with the lowest cost. Returns `kNoTarget` if no target
-/// can take the request. @pre none. Not thread-safe.
+/// Chooses the target with the lowest cost among those whose rate limits allow
+/// another request, and counts the demand at each that a limit rules out.
+/// Returns `kNoTarget` if no target can take the request, `kOverloaded` if only
+/// limits prevent it. @pre none. Not thread-safe.
 Result<PlacementDecision> ChooseTarget(const Fleet& fleet,
                                        const PlacementSettings& settings,
                                        const PlacementInput& input,
                                        RuntimeClock::time_point now);
 
+/// Time until the limits of a service's targets allow another request; zero if
+/// they allow one now. @pre none. Not thread-safe.
+std::chrono::nanoseconds TimeToCapacity(const Fleet& fleet,
+                                        const std::string& service,
+                                        RuntimeClock::time_point now);
+
 /// Cache keys of a prompt's shared parts under a cache salt. The last part is
 /// specific to the request and has no key. @pre none. Thread-safe.
 std::vector<std::uint64_t> PartKeys(const platform::CallerRequest& request,
--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -102,6 +102,12 @@
       caller_request_(received),
       routed_(routed),
       prompt_(prompt) {
+  if (routed.service->engine) {
+    // The memory that a request occupies is what a busy runner lacks first.
+    is_large_ = fleet_.AddWork(
+        routed.service->name,
+        routed.request.prompt_tokens + routed.request.expected_output_tokens);
+  }
   if (routed.route->is_stream && IsIdempotent()) {
     relay_.emplace(routed.request.last_event_id);
   }
@@ -124,12 +130,13 @@
   }
   if (auto refusal = quarantine_.FindQuarantined(prompt_)) return *refusal;
   const PlacementInput input{*routed_.service, routed_.account, routed_.request,
-                             tried_targets_};
+                             tried_targets_, is_large_};
   auto choice =
       ChooseTarget(fleet_, placement_settings_, input, RuntimeClock::now());
   if (!choice.ok()) return choice.error();
   choice_ = std::move(choice.value());
   Runner& runner = *choice_.runner;
+  runner.limit.CountSent();
   ++runner.own_running;
   runner.own_pending_prefill_tokens += choice_.uncached_tokens;
   is_load_counted_ = true;
@@ -277,6 +284,7 @@
       telemetry::Level::kInfo, telemetry::event::kTargetLimit,
       {{"target", choice_.runner->entry.id},
        {"requests_per_second", limit.is_set() ? limit.per_second() : -1}});
+  peers_.AnnounceLimit(*choice_.runner);
 }
 
 void RunnerProtocol::ExpectCachedParts() {
--- a/src/fleet/runner_protocol.h
+++ b/src/fleet/runner_protocol.h
@@ -121,6 +121,8 @@
   const net::Request& caller_request_;
   RoutedRequest& routed_;
   PromptRequest& prompt_;
+  // Whether the request is at least as much work as the mean of its service.
+  bool is_large_ = true;
   std::vector<std::string> tried_targets_;
   PlacementDecision choice_;
   bool is_load_counted_ = false;
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -282,6 +282,24 @@
   EXPECT_FALSE(Choose().ok());
 }
 
+TEST_F(FleetPlacement, ATargetAtItsLimitIsPassedOverAndRefusalsSayWhen) {
+  for (const char* id : {"limited", "other"}) fleet_.SetTarget(Entry(id));
+  const auto now = RuntimeClock::now();
+  SharedLimit& limit = fleet_.targets().at("limited")->limit;
+  SharedLimit& other = fleet_.targets().at("other")->limit;
+  limit.OnAnswer(2, now, now);
+  EXPECT_EQ(Choose().value().runner->entry.id, "other");
+  EXPECT_EQ(TimeToCapacity(fleet_, "s", now), milliseconds(0));
+  other.OnAnswer(1, now, now);
+  const auto refused = Choose();
+  ASSERT_FALSE(refused.ok());
+  EXPECT_EQ(refused.error().id, ErrorId::kOverloaded);
+  EXPECT_EQ(refused.error().verdict, Verdict::kNotRun);
+  EXPECT_EQ(TimeToCapacity(fleet_, "s", now), milliseconds(500));
+  RuntimeClock::Advance(milliseconds(600));
+  EXPECT_EQ(Choose().value().runner->entry.id, "limited");
+}
+
 TEST_F(FleetPlacement, SaltsSeparateVersionsAndIsolatedAccounts) {
   Account open{"t1", {}, {}, false};
   Account isolated{"t2", {}, {}, true};
--- a/tests/src/unit-shared_limit.cpp
+++ b/tests/src/unit-shared_limit.cpp
@@ -193,6 +193,26 @@
   EXPECT_TRUE(limit.MaySend(0, At(1000) + seconds(6)));
 }
 
+TEST(SharedLimit, TheReserveIsKeptForLargeRequests) {
+  SharedLimit limit;
+  limit.OnAnswer(1, At(1000), At(1000));
+  EXPECT_TRUE(limit.MaySend(0, At(2500), true));
+  EXPECT_FALSE(limit.MaySend(0, At(2500), false));
+  EXPECT_TRUE(limit.MaySend(0, At(3100), false));
+  limit.CountSent();
+  EXPECT_TRUE(limit.MaySend(0, At(3100), true));
+  EXPECT_FALSE(limit.MaySend(0, At(3100), false));
+}
+
+TEST(SharedLimit, AnIdlePeerLeavesItsShare) {
+  SharedLimit limit;
+  limit.OnAnswer(4, At(1000), At(1000));
+  for (int i = 0; i < 8; ++i) limit.CountDemand(At(1000));
+  EXPECT_NEAR(limit.Share(1, At(1000)), 2, 0.01);
+  limit.OnPeerIdle("b", At(1000));
+  EXPECT_GT(limit.Share(1, At(1000)), 3.9);
+}
+
 RC_GTEST_PROP(SharedLimitProperty, TheSumStaysWithinTheLimit, ()) {
   const auto hosts = *rc::gen::inRange<std::size_t>(1, 12);
   std::vector<double> demands;
