Draw no conclusion about a runner from requests that the router itself ended

What callers saw: nothing. A caller that left, or a verdict that stopped a request, was taken for a broken connection and followed by a connection check; an error answer of a runner cleared the parts of its request.

Cause: the end of an attempt did not say who ended it.

Change: a request that its caller left or that a verdict stopped is abandoned, and its end is no evidence; only a success clears parts.

Why it works: the wait for the caller's close ends before the attempt is cancelled.

--- a/src/fleet/fleet_frontend.cc
+++ b/src/fleet/fleet_frontend.cc
@@ -134,6 +134,12 @@
   return routed;
 }
 
+awaitable<void> FleetFrontend::WaitForCallerToGo(net::Exchange& exchange,
+                                                 PromptRequest& prompt) {
+  co_await exchange.WaitForClose();
+  prompt.Abandon();
+}
+
 awaitable<ForwardResult> FleetFrontend::Forward(net::Exchange& exchange,
                                                 RunnerProtocol& protocol,
                                                 PromptRequest& prompt) {
@@ -147,8 +153,9 @@
   const std::shared_ptr<void> registration(
       nullptr, [&](void*) { quarantine_.Leave(prompt); });
   exchange::RequestForwarder forwarder(exchange, client_, &protocol);
-  auto raced = co_await (forwarder.Run() || exchange.WaitForClose() ||
-                         prompt.WaitForQuarantine());
+  auto raced =
+      co_await (forwarder.Run() || WaitForCallerToGo(exchange, prompt) ||
+                prompt.WaitForQuarantine());
   switch (raced.index()) {
     case 0:
       co_return std::move(std::get<0>(raced));
--- a/src/fleet/fleet_frontend.h
+++ b/src/fleet/fleet_frontend.h
@@ -43,6 +43,8 @@
   std::chrono::nanoseconds RetryAfter(const Error& error,
                                       const RoutedRequest& routed,
                                       const PromptRequest& prompt) const;
+  static net::asio::awaitable<void> WaitForCallerToGo(net::Exchange& exchange,
+                                                      PromptRequest& prompt);
   // Forwards a request until it is answered, its caller has gone or one of its
   // prompt parts is quarantined.
   net::asio::awaitable<exchange::ForwardResult> Forward(
--- a/src/fleet/part_quarantine.cc
+++ b/src/fleet/part_quarantine.cc
@@ -97,6 +97,7 @@
 
 awaitable<void> PromptRequest::WaitForQuarantine() {
   co_await quarantined_.async_wait(net::kAsTuple);
+  Abandon();
 }
 
 PartQuarantine::PartQuarantine(net::asio::io_context& loop,
--- a/src/fleet/part_quarantine.h
+++ b/src/fleet/part_quarantine.h
@@ -43,10 +43,14 @@
   RuntimeClock::time_point sent_at() const { return sent_at_; }
   std::optional<RuntimeClock::time_point> head_at() const { return head_at_; }
   std::optional<RuntimeClock::time_point> body_at() const { return body_at_; }
+  /// The router gives up on the request itself, so that the end of its
+  /// connection says nothing about the runner. @pre none.
+  void Abandon() { is_abandoned_ = true; }
+  bool is_abandoned() const { return is_abandoned_; }
   /// Whether the request is a trial of a lapsed quarantine. @pre none.
   bool is_trial() const { return is_trial_; }
   /// Completes once a part has been quarantined before the answer's body
-  /// began; never otherwise. @pre one caller.
+  /// began, and then abandons the request; never otherwise. @pre one caller.
   net::asio::awaitable<void> WaitForQuarantine();
 
  private:
@@ -60,6 +64,7 @@
   std::optional<RuntimeClock::time_point> head_at_;
   std::optional<RuntimeClock::time_point> body_at_;
   bool is_trial_ = false;
+  bool is_abandoned_ = false;
   bool is_cleared_ = false;
   net::Timer quarantined_;
 };
--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -353,7 +353,7 @@
   ReleaseLoad();
   if (relay_) relay_->DiscardPartial();
   if (error == nullptr) {
-    quarantine_.OnComplete(prompt_);
+    if (!has_failure_answer_) quarantine_.OnComplete(prompt_);
     return;
   }
   RetractExpectedParts();
@@ -392,7 +392,7 @@
 bool RunnerProtocol::IsBrokenOff(const Error& error) const {
   const bool is_broken =
       error.id == ErrorId::kTargetFailed || error.id == ErrorId::kStreamBroken;
-  return is_broken && !has_failure_answer_ &&
+  return is_broken && !has_failure_answer_ && !prompt_.is_abandoned() &&
          error.verdict != Verdict::kNotRun && !prompt_.parts().empty();
 }
 
