--- a/include/beryllane/quarantine/crash_attribution.h
+++ b/include/beryllane/quarantine/crash_attribution.h
@@ -51,12 +51,13 @@
   double min_weight = 2.5;
   std::size_t min_crashes = 3;
   std::size_t min_targets = 2;
-  /// Number of crashes of which each broke off a request that was sent after
-  /// the crash before. Targets that fail together for another reason count
-  /// once.
+  /// Length of a sequence of crashes in which each broke off a request that
+  /// was sent after the crash before it. Targets that fail together for
+  /// another reason are one element.
   std::size_t min_successive_crashes = 2;
-  /// Reports on one incarnation of a target within this time belong to one
-  /// crash. Longer, they are on a newer one that the reporter did not know.
+  /// Reports on one incarnation of a target within this time of each other
+  /// belong to one crash. Later ones concern a newer incarnation that the
+  /// reporting host did not know yet.
   std::chrono::nanoseconds merge_time = std::chrono::milliseconds(1500);
   /// Crashes are forgotten after this time.
   std::chrono::nanoseconds memory = std::chrono::seconds(60);
--- a/src/fleet/part_quarantine.h
+++ b/src/fleet/part_quarantine.h
@@ -40,6 +40,7 @@
   void OnBody(RuntimeClock::time_point now) {
     if (!body_at_) body_at_ = now;
   }
+  /// Times of the current attempt; none for what has not happened. @pre none.
   RuntimeClock::time_point sent_at() const { return sent_at_; }
   std::optional<RuntimeClock::time_point> head_at() const { return head_at_; }
   std::optional<RuntimeClock::time_point> body_at() const { return body_at_; }
@@ -113,7 +114,7 @@
   struct StoredVerdict {
     // Strikes that the store's record states; 0 if there is none.
     int stored_strikes = 0;
-    // Time of the first attempt to write the record.
+    // The record is not written before this time.
     RuntimeClock::time_point write_after;
   };
 
@@ -127,8 +128,8 @@
   void ReceiveVerdict(const nlohmann::json& verdict);
   void ConvictCulprits();
   void Convict(std::uint64_t part, int strikes, std::string_view source);
-  // Ends the evidence against a part, and its quarantine if no later crash
-  // counts against it.
+  // Ends the evidence against a part and its quarantine; returns whether there
+  // was either.
   bool ClearPart(std::uint64_t part, std::string_view source);
   void Release(std::uint64_t part, std::string_view source);
   // Ends a quarantine that nobody has tried to end by a trial.
@@ -147,6 +148,7 @@
   quarantine::QuarantineTable table_;
   std::map<std::uint64_t, StoredVerdict> verdicts_;
   std::set<PromptRequest*> requests_;
+  // Ids of the parts that are under suspicion or quarantined, by key.
   std::map<std::uint64_t, std::string> part_ids_;
   // Suspects of broken answers, by runner, until it is known whether the runner
   // crashed.
