--- a/tests/src/process-limit.cpp
+++ b/tests/src/process-limit.cpp
@@ -2,6 +2,7 @@
 // platform's stand-ins.
 #include <gtest/gtest.h>
 
+#include <array>
 #include <atomic>
 #include <thread>
 
@@ -27,7 +28,7 @@
   // Callers that send one request after the other through uneven routers.
   class Load {
    public:
-    Load(const PlatformFleet& fleet, std::string path) {
+    Load(const PlatformFleet& fleet, const std::string& path) {
       constexpr int kCallers = 8;
       for (int i = 0; i < kCallers; ++i) {
         const int router = i < kCallers / 2 ? 0 : i % kRouters;
@@ -80,9 +81,9 @@
   LimitRunners(PlatformFleet::kRunners, kLimit);
   const Load load(fleet_, "/advice/x");
   std::this_thread::sleep_for(kSettleTime);
-  std::vector<int> before;
+  std::array<int, PlatformFleet::kRunners> before{};
   for (int i = 0; i < PlatformFleet::kRunners; ++i) {
-    before.push_back(fleet_.RunsAtRunner(i));
+    before[i] = fleet_.RunsAtRunner(i);
   }
   const int answered = load.answered();
   std::this_thread::sleep_for(kWindow);
@@ -99,10 +100,8 @@
   }
   const Load load(fleet_, "/book/x");
   std::this_thread::sleep_for(kSettleTime);
-  std::vector<int> before;
-  for (int i = 0; i < PlatformFleet::kDesks; ++i) {
-    before.push_back(RunsAtDesk(i));
-  }
+  std::array<int, PlatformFleet::kDesks> before{};
+  for (int i = 0; i < PlatformFleet::kDesks; ++i) before[i] = RunsAtDesk(i);
   std::this_thread::sleep_for(kWindow);
   for (int i = 0; i < PlatformFleet::kDesks; ++i) {
     EXPECT_LE(RunsAtDesk(i) - before[i], kMaxRuns) << i;
