Log and count runs that begin on older weights

What callers saw: nothing; the fault shows only in the age of the weights that their requests ran on. Cause of the blind spot: a run on older weights left no line, a refusal for other weights showed neither the version that the target named nor the one that this router believed, and the record that names weights did not say how old the last proof of completeness was. Change: the events older-weights-run and weights-refused, named_within_ms in weights-named, a counter and a histogram of the lag. One line now shows expected, answered, believed and desired version, the lag at sending and the wait at the target, which tells the three hypotheses apart.

--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -80,6 +80,12 @@
       foreign_answers(
           registry.GetCounter("beryllane_fleet_foreign_answers_total",
                               "Answers that belonged to another request")),
+      older_weights_runs(registry.GetCounter(
+          "beryllane_fleet_older_weights_runs_total",
+          "Runs that began on weights older than the desired ones")),
+      older_weights_lag(registry.GetHistogram(
+          "beryllane_fleet_older_weights_lag_seconds",
+          "Time since newer weights were read, for runs on older weights")),
       first_byte(registry.GetHistogram("beryllane_fleet_first_byte_seconds",
                                        "Time to the head of the answer")) {}
 
@@ -226,6 +232,7 @@
         fleet_.DesiredWeightsOf(routed_.request.model);
     const bool may_switch =
         choice_.weights_version && *choice_.weights_version < desired.version;
+    if (facts.status == kMisdirectedRequest) LogWeightsRefusal(facts);
     if (facts.status == kMisdirectedRequest && may_switch) {
       runner.RaiseVersion(routed_.request.model, desired.version);
     } else if (facts.status == kMisdirectedRequest) {
@@ -244,6 +251,7 @@
       facts.status < kMultipleChoices && facts.is_sealed && !facts.is_encoded;
   if (is_success) {
     prompt_.OnHead(now);
+    RecordOlderRun(facts);
     const bool has_events = net::Header(answer.head(), "Content-Type")
                                 .starts_with("text/event-stream");
     if (IsStream(answer) && has_events && !relay_) relay_.emplace(std::nullopt);
@@ -275,6 +283,47 @@
   return {Classification::Kind::kRelay, {}};
 }
 
+void RunnerProtocol::RecordOlderRun(
+    const platform::TargetAnswer& answer) const {
+  if (!choice_.weights_version) return;
+  const std::string& model = routed_.request.model;
+  const DesiredWeightsState desired = fleet_.DesiredWeightsOf(model);
+  const std::uint64_t used = *choice_.weights_version;
+  if (used >= desired.version) return;
+  const auto lag = desired.Lag(used, BootClock::now());
+  const auto waited = RuntimeClock::now() - prompt_.sent_at();
+  metrics_.older_weights_runs.Add();
+  metrics_.older_weights_lag.Record(lag);
+  const TargetEntry& entry = choice_.runner->entry;
+  telemetry::Log(
+      telemetry::Level::kInfo, telemetry::event::kOlderWeightsRun,
+      {{"request", routed_.request.id},
+       {"target", entry.id},
+       {"start_time", entry.start_time},
+       {"expected", used},
+       {"answered", answer.weights_version.value_or(0)},
+       {"believed", choice_.runner->VersionOf(model)},
+       {"desired", desired.version},
+       {"lag_at_send_ms", duration_cast<milliseconds>(lag - waited).count()},
+       {"waited_ms", duration_cast<milliseconds>(waited).count()},
+       {"lag_ms", duration_cast<milliseconds>(lag).count()},
+       {"limit_ms", placement_settings_.max_weights_lag.count()}});
+}
+
+void RunnerProtocol::LogWeightsRefusal(
+    const platform::TargetAnswer& answer) const {
+  const std::string& model = routed_.request.model;
+  const TargetEntry& entry = choice_.runner->entry;
+  telemetry::Log(telemetry::Level::kInfo, telemetry::event::kWeightsRefused,
+                 {{"request", routed_.request.id},
+                  {"target", entry.id},
+                  {"start_time", entry.start_time},
+                  {"expected", choice_.weights_version.value_or(0)},
+                  {"answered", answer.weights_version.value_or(0)},
+                  {"believed", choice_.runner->VersionOf(model)},
+                  {"desired", fleet_.DesiredWeightsOf(model).version}});
+}
+
 void RunnerProtocol::RecordLimit(std::optional<double> requests_per_second) {
   SharedLimit& limit = choice_.runner->limit;
   const bool is_change = limit.OnAnswer(requests_per_second.value_or(-1),
--- a/src/fleet/runner_protocol.h
+++ b/src/fleet/runner_protocol.h
@@ -33,6 +33,8 @@
   Counter& repeats;
   Counter& budget_spent;
   Counter& foreign_answers;
+  Counter& older_weights_runs;
+  LatencyHistogram& older_weights_lag;
   LatencyHistogram& first_byte;
 };
 
@@ -108,6 +110,9 @@
   // Reverts `ExpectCachedParts` after a failed attempt.
   void RetractExpectedParts();
   void LogChoice() const;
+  // Records a run on weights older than the desired ones.
+  void RecordOlderRun(const platform::TargetAnswer& answer) const;
+  void LogWeightsRefusal(const platform::TargetAnswer& answer) const;
   // Applies the limit that the target named, or that it named none.
   void RecordLimit(std::optional<double> requests_per_second);
   void LogFailedAttempt(const exchange::Target& target,
--- a/src/fleet/store_follower.cc
+++ b/src/fleet/store_follower.cc
@@ -130,12 +130,17 @@
                    {{"version", version}, {"offset", record.offset}});
     on_config_();
   } else if (auto* weights = std::get_if<DesiredWeights>(&decoded.value())) {
-    const bool is_first_read = !freshness_.Age(BootClock::now());
-    if (!fleet_.SetDesiredWeights(*weights, is_first_read)) return;
-    telemetry::Log(Level::kInfo, telemetry::event::kWeightsNamed,
-                   {{"model", weights->model},
-                    {"version", weights->version},
-                    {"offset", record.offset}});
+    const auto proof_age = freshness_.Age(BootClock::now());
+    if (!fleet_.SetDesiredWeights(*weights, !proof_age)) return;
+    telemetry::Log(
+        Level::kInfo, telemetry::event::kWeightsNamed,
+        {{"model", weights->model},
+         {"version", weights->version},
+         {"offset", record.offset},
+         {"named_within_ms",
+          proof_age
+              ? std::chrono::duration_cast<milliseconds>(*proof_age).count()
+              : -1}});
     on_weights_();
   }
 }
