Show runs on older weights after the bound, and a refusal taken as a proof

PlatformOlderWeights.NoRunBeginsAfterTheBound: runners that hold requests in their queue while newer weights are named release them after the bound. All three requests, sent before and after the naming, begin on older weights.

PlatformRollout.ARefusalIsNoProofOfTheDesiredWeights: runners have an intermediate version that the list does not show yet. A router whose request one of them refuses sends it the next with the desired version.

The runner stand-in can hold requests in its queue, change its weights without an order, show older ones in the list, and tells which versions refused requests expected.

--- a/standins/runner_main.cc
+++ b/standins/runner_main.cc
@@ -9,6 +9,8 @@
 #include <cstdlib>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
 #include <string>
 
 #include "fmt/format.h"
@@ -56,6 +58,8 @@
   bool silent = false;
   // Orders are neither answered nor carried out.
   bool ignore_orders = false;
+  // Requests wait in the queue and do not begin.
+  bool hold = false;
   // Time between the events of a stream.
   milliseconds step{0};
   // Streams break off within the event of this number; negative is never.
@@ -123,16 +127,23 @@
       faults_.silent = change.value("silent", faults_.silent);
       faults_.ignore_orders =
           change.value("ignore_orders", faults_.ignore_orders);
+      faults_.hold = change.value("hold", faults_.hold);
       faults_.cut_at = change.value("cut_at", faults_.cut_at);
       faults_.limit = change.value("limit", faults_.limit);
       faults_.deadly_part = change.value("deadly_part", faults_.deadly_part);
       faults_.step = milliseconds(
           change.value("step_ms", std::int64_t{faults_.step.count()}));
       state_ = change.value("state", state_);
+      version_ = change.value("version", version_);
+      if (change.contains("listed_version")) {
+        listed_version_ = change["listed_version"].get<std::uint64_t>();
+      }
       if (change.value("drop_cache", false)) cache_.Drop();
       if (change.value("restart_cache", false)) cache_.Restart();
     }
     const json seen{{"runs", runs_},
+                    {"queued", queued_},
+                    {"refused_versions", refused_versions_},
                     {"last", last_},
                     {"orders", orders_},
                     {"version", version_},
@@ -141,18 +152,17 @@
   }
 
  private:
-  json Models() const {
+  static json Models(std::uint64_t version) {
     const std::string model = absl::GetFlag(FLAGS_model);
     if (model.empty()) return json::array();
-    return json::array({{{"name", model},
-                         {"version", version_},
-                         {"adapters", json::array()}}});
+    return json::array(
+        {{{"name", model}, {"version", version}, {"adapters", json::array()}}});
   }
 
   json Report() const {
-    return {{"stage", "unified"},  {"models", Models()},
+    return {{"stage", "unified"},  {"models", Models(version_)},
             {"busy", is_loading_}, {"sequence", orders_.size()},
-            {"queued", 0},         {"active", running_},
+            {"queued", queued_},   {"active", running_},
             {"born", born_}};
   }
 
@@ -168,7 +178,7 @@
                        {"slots", 8},
                        {"state", state_},
                        {"coldRemainingMs", 0},
-                       {"models", Models()},
+                       {"models", Models(listed_version_.value_or(version_))},
                        {"sequence", beat},
                        {"born", born_}};
       const json put{
@@ -211,9 +221,11 @@
   awaitable<void> Serve(net::Exchange& exchange) {
     const net::Request& request = exchange.request();
     const std::string id(net::Header(request, kRequestId));
+    co_await WaitInQueue();
     const std::string_view version = net::Header(request, "Expect-Version");
     const bool is_other_version =
         !version.empty() && version != std::to_string(version_);
+    if (is_other_version) refused_versions_.emplace(version);
     if (faults_.refuse || is_loading_ || is_other_version) {
       net::Response answer =
           JsonAnswer(is_other_version ? 421 : 503, json::object());
@@ -248,6 +260,13 @@
     }
   }
 
+  awaitable<void> WaitInQueue() {
+    constexpr milliseconds kPoll{5};
+    ++queued_;
+    const std::shared_ptr<void> guard(nullptr, [this](void*) { --queued_; });
+    while (faults_.hold) co_await net::Sleep(kPoll);
+  }
+
   // Waits for a change as long as the call allows.
   awaitable<void> TellCacheChanges(net::Exchange& exchange, std::string path) {
     constexpr milliseconds kPoll{10};
@@ -357,8 +376,13 @@
   CacheLog cache_{absl::GetFlag(FLAGS_model)};
   std::uint64_t highest_token_ = 0;
   std::uint64_t version_ = 1;
+  // Version that the list of targets shows instead of the one it has.
+  std::optional<std::uint64_t> listed_version_;
+  // Versions that refused requests expected.
+  std::set<std::string> refused_versions_;
   bool is_loading_ = false;
   int running_ = 0;
+  int queued_ = 0;
 };
 
 int Main(int argc, char** argv) {
--- a/tests/src/process-rollout.cpp
+++ b/tests/src/process-rollout.cpp
@@ -1,10 +1,13 @@
 // Rollouts of weights by one holder of the lease, on the platform's stand-ins.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <future>
 #include <map>
 #include <set>
 #include <string>
 
+#include "beryllane/clock/runtime_clock.h"
 #include "tests/support/platform_fleet.h"
 
 namespace beryllane::testing {
@@ -116,5 +119,74 @@
             before["reads"].value(kLease, 0) + kMostReads);
 }
 
+// A refusal counted as a proof of the desired weights, so that the target was
+// not ordered to load them.
+TEST_F(PlatformRollout, ARefusalIsNoProofOfTheDesiredWeights) {
+  for (int i = 0; i < PlatformFleet::kRunners; ++i) {
+    fleet_.ControlRunner(
+        i, {{"version", 2}, {"listed_version", 1}, {"ignore_orders", true}});
+  }
+  Name(3);
+  for (int router = 0; router < 3; ++router) {
+    EXPECT_TRUE(Eventually([&] {
+      return fleet_.LogOf(router).find("\"weights-named\"") !=
+             std::string::npos;
+    }));
+  }
+  constexpr int kAsked = 12;
+  for (int n = 0; n < kAsked; ++n) {
+    fleet_.Ask(n % 3, "/chat/x", "r" + std::to_string(n));
+  }
+  bool has_refused = false;
+  for (int i = 0; i < PlatformFleet::kRunners; ++i) {
+    const json refused = Seen(i)["refused_versions"];
+    has_refused = has_refused || !refused.empty();
+    EXPECT_EQ(std::count(refused.begin(), refused.end(), "3"), 0);
+  }
+  EXPECT_TRUE(has_refused);
+}
+
+// The age of weights was checked when a target was chosen, not when the request
+// left the target's queue.
+TEST(PlatformOlderWeights, NoRunBeginsAfterTheBound) {
+  using std::chrono::milliseconds;
+  constexpr milliseconds kBound{3000};
+  const PlatformFleet fleet(1, nullptr, kBound);
+  const auto set_all = [&](const json& change) {
+    for (int i = 0; i < PlatformFleet::kRunners; ++i) {
+      fleet.ControlRunner(i, change);
+    }
+  };
+  const auto queued = [&] {
+    int count = 0;
+    for (int i = 0; i < PlatformFleet::kRunners; ++i) {
+      count += fleet.ControlRunner(i, json::object())["queued"].get<int>();
+    }
+    return count;
+  };
+  set_all({{"ignore_orders", true}, {"hold", true}});
+  std::vector<std::future<Result<net::Response>>> answers;
+  const auto ask = [&](const std::string& path, const std::string& id) {
+    answers.push_back(std::async(std::launch::async, [&fleet, path, id] {
+      return fleet.Ask(0, path, id);
+    }));
+  };
+  ask("/chat/x", "before");
+  EXPECT_TRUE(Eventually([&] { return queued() == 1; }));
+  fleet.Put("keyed.op", "version/m1", json{{"model", "m1"}, {"version", 2}});
+  const auto named = RuntimeClock::now();
+  EXPECT_TRUE(Eventually([&] {
+    return fleet.LogOf(0).find("\"weights-named\"") != std::string::npos;
+  }));
+  ask("/chat/x", "once");
+  ask("/advice/x", "resumable");
+  EXPECT_TRUE(Eventually([&] { return RuntimeClock::now() - named > kBound; }));
+  set_all({{"hold", false}});
+  for (auto& answer : answers) answer.wait();
+  for (const char* id : {"before", "once", "resumable"}) {
+    EXPECT_EQ(fleet.RunsOf(id), 0) << id;
+  }
+}
+
 }  // namespace
 }  // namespace beryllane::testing
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -71,8 +71,10 @@
   return text;
 }
 
-PlatformFleet::PlatformFleet(int routers, Relay relay)
-    : relay_(std::move(relay)) {
+PlatformFleet::PlatformFleet(int routers, Relay relay,
+                             std::chrono::milliseconds older_weights_lifetime)
+    : relay_(std::move(relay)),
+      older_weights_lifetime_(older_weights_lifetime) {
   std::string pattern =
       (std::filesystem::temp_directory_path() / "beryllane-XXXXXX").string();
   directory_ = mkdtemp(pattern.data());
@@ -165,12 +167,12 @@
       "[zones]\nzone-a = \"r1\"\nzone-b = \"r1\"\nzone-c = \"r2\"\n"
       "[listen]\nfront = \"{}\"\nready = \"{}\"\n"
       "[bounds]\nrevokeMs = 3000\nstrictRevocation = true\nleaseMs = 1000\n"
-      "graceS = 8\nretryBudgetSlack = 200\n"
+      "graceS = 8\nretryBudgetSlack = 200\nversionMs = {}\n"
       "[platform]\naddress = \"{}\"\n",
       i, router_ports_[i].ip, kZones[i % 3], i % 3 == 2 ? "r2" : "r1",
       peer_ports_[i].port, peer_ports_[i].port + 1,
       net::ToString(router_ports_[i]), net::ToString(ready_ports_[i]),
-      net::ToString(store_ports_[i]));
+      older_weights_lifetime_.count(), net::ToString(store_ports_[i]));
 }
 
 void PlatformFleet::StartRouter(int i) {
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -27,8 +27,11 @@
 
   /// With `relay`, routers reach each target and the store (as
   /// `store-of-router-N`) where it says, and targets write `TargetLog`.
-  /// @pre `routers` > 0.
-  explicit PlatformFleet(int routers = 1, Relay relay = nullptr);
+  /// `older_weights_lifetime` bounds the time for which runs may begin on older
+  /// weights. @pre `routers` > 0.
+  explicit PlatformFleet(int routers = 1, Relay relay = nullptr,
+                         std::chrono::milliseconds older_weights_lifetime =
+                             std::chrono::milliseconds(8000));
 
   /// A runner's whole stream, or what is left of it from event `from` on.
   static std::string WholeStream(int from = 1);
@@ -106,6 +109,7 @@
 
   std::string directory_;
   Relay relay_;
+  std::chrono::milliseconds older_weights_lifetime_;
   net::Address store_address_ = FreeAddress();
   net::Address store_control_ = FreeAddress();
   Process store_;
