Let a call be checked right before it is written, and its wait be extended

Need: between the choice of a target and the write of the request lie a delay and a connection, after which the choice may no longer be right; and the limit on the wait for an answer may move while the call waits.

Change: CallOptions::may_send is asked on the established connection, and false ends the call with target_withdrawn, not run. CallOptions::more_time is asked when answer_timeout has passed; the read goes on where it stopped. Nothing uses them yet.

--- a/include/beryllane/error/error.h
+++ b/include/beryllane/error/error.h
@@ -53,6 +53,7 @@
   kStreamBroken = 305,
   kOutcomeUnknown = 306,
   kInProgress = 307,
+  kTargetWithdrawn = 308,
   // Ids 400 to 499: a platform service, such as the log, failed.
   kLogUnavailable = 401,
   kLogAnswerInvalid = 402,
--- a/src/coordination/error.cc
+++ b/src/coordination/error.cc
@@ -48,6 +48,7 @@
     ErrorInfo{ErrorId::kStreamBroken, "stream_broken", 502},
     ErrorInfo{ErrorId::kOutcomeUnknown, "outcome_unknown", 409},
     ErrorInfo{ErrorId::kInProgress, "in_progress", 409},
+    ErrorInfo{ErrorId::kTargetWithdrawn, "target_withdrawn", 503},
     ErrorInfo{ErrorId::kLogUnavailable, "log_unavailable", 503},
     ErrorInfo{ErrorId::kLogAnswerInvalid, "log_answer_invalid", 502},
     ErrorInfo{ErrorId::kHostListUnavailable, "host_list_unavailable", 503},
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -93,10 +93,13 @@
   constexpr int kMaxInterimHeads = 8;
   for (int heads = 0; heads <= kMaxInterimHeads; ++heads) {
     Watchdog& watchdog = connection_->watchdog;
-    watchdog.Arm(options_.answer_timeout);
-    const auto [code, bytes] = co_await http::async_read_header(
-        connection_->socket, connection_->buffer, *parser_, kAsTuple);
-    watchdog.Disarm();
+    error_code code;
+    do {
+      watchdog.Arm(options_.answer_timeout);
+      std::tie(code, std::ignore) = co_await http::async_read_header(
+          connection_->socket, connection_->buffer, *parser_, kAsTuple);
+      watchdog.Disarm();
+    } while (code && ExtendWait());
     if (code) {
       const ErrorId id = watchdog.has_expired() ? ErrorId::kTargetSilent
                                                 : ErrorId::kTargetFailed;
@@ -144,12 +147,22 @@
   return code;
 }
 
+bool AnswerStream::ExtendWait() {
+  if (!connection_->watchdog.has_expired() || !options_.more_time) return false;
+  options_.answer_timeout = options_.more_time();
+  return options_.answer_timeout > nanoseconds(0);
+}
+
 asio::awaitable<error_code> AnswerStream::ReadMore() {
   beast::flat_buffer& buffer = connection_->buffer;
-  connection_->watchdog.Arm(options_.answer_timeout);
-  const auto [code, bytes] = co_await connection_->socket.async_read_some(
-      buffer.prepare(kReadBytes), kAsTuple);
-  connection_->watchdog.Disarm();
+  error_code code;
+  std::size_t bytes = 0;
+  do {
+    connection_->watchdog.Arm(options_.answer_timeout);
+    std::tie(code, bytes) = co_await connection_->socket.async_read_some(
+        buffer.prepare(kReadBytes), kAsTuple);
+    connection_->watchdog.Disarm();
+  } while (code && bytes == 0 && ExtendWait());
   buffer.commit(bytes);
   if (code != asio::error::eof) co_return code;
   // The end of the connection may also be the end of the answer.
@@ -239,6 +252,15 @@
   if (idle.size() > kMaxIdle) idle.pop_front();
 }
 
+asio::awaitable<Result<std::unique_ptr<HttpClient::Connection>>>
+HttpClient::Acquire(const Address& address, const CallOptions& options) {
+  if (!options.needs_new_connection) {
+    std::unique_ptr<Connection> idle = TakeIdle(address);
+    if (idle) co_return idle;
+  }
+  co_return co_await Connect(address, options.connect_timeout);
+}
+
 Result<Done> HttpClient::StartWrite(AnswerStream& answer,
                                     const std::string& wire) {
   tcp::socket& socket = answer.connection_->socket;
@@ -278,16 +300,16 @@
                         ExchangeStage::kBeforeFirstByte);
   }
   for (;;) {
-    std::unique_ptr<Connection> connection;
-    if (!options.needs_new_connection) connection = TakeIdle(address);
-    if (!connection) {
-      auto connected = co_await Connect(address, options.connect_timeout);
-      if (!connected.ok()) co_return connected.error();
-      connection = std::move(connected.value());
+    auto acquired = co_await Acquire(address, options);
+    if (!acquired.ok()) co_return acquired.error();
+    const bool is_new = acquired.value()->is_new;
+    if (options.may_send && !options.may_send()) {
+      co_return MakeError(ErrorId::kTargetWithdrawn, address,
+                          "withdrawn before the request was sent",
+                          ExchangeStage::kBeforeFirstByte);
     }
-    const bool is_new = connection->is_new;
     std::unique_ptr<AnswerStream> answer(
-        new AnswerStream(std::move(connection), *this, options));
+        new AnswerStream(std::move(acquired.value()), *this, options));
     auto written = StartWrite(*answer, *wire);
     if (!written.ok()) {
       // The peer closed the idle connection; nothing was sent.
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -8,6 +8,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <chrono>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -32,6 +33,13 @@
   std::size_t body_limit = 64 * 1024 * 1024;
   /// Longest reuse of an idle connection whose peer states no time of its own.
   std::chrono::nanoseconds unstated_idle_limit = std::chrono::seconds(60);
+  /// Asked once the connection is established, right before the request is
+  /// written; false ends the call with `kTargetWithdrawn`. Empty is always
+  /// true.
+  std::function<bool()> may_send;
+  /// Asked when `answer_timeout` has passed: the further time to wait, zero to
+  /// give up. Empty is always zero.
+  std::function<std::chrono::nanoseconds()> more_time;
 };
 
 class HttpClient;
@@ -73,6 +81,8 @@
   // Parses what was received.
   error_code ParseBuffered();
   asio::awaitable<error_code> ReadMore();
+  // Whether the wait that has just expired goes on; sets its new limit.
+  bool ExtendWait();
   // How long the connection may wait for its next request.
   std::chrono::nanoseconds IdleLimit() const;
 
@@ -112,6 +122,9 @@
 
   asio::awaitable<Result<std::unique_ptr<Connection>>> Connect(
       const Address& address, std::chrono::nanoseconds timeout);
+  // An idle connection or a new one.
+  asio::awaitable<Result<std::unique_ptr<Connection>>> Acquire(
+      const Address& address, const CallOptions& options);
   // Starts to send; what the socket does not take at once goes on in the
   // background, so that an early answer is seen.
   Result<Done> StartWrite(AnswerStream& answer, const std::string& wire);
