Count older weights from the earliest time of the naming, not from the read

What callers saw: requests could begin on older weights up to the delay of the router's own reading after the bound: a second or more over the relay, several seconds after a cut, and, after a start, the whole bound anew. Cause: the age of weights was counted from the time at which this router read the newer version. Change: DesiredWeightsState keeps, for each version, the time up to which the records read before are proved complete. The version was named later than that, so the deadline for older weights counts from there. A version whose naming may lie far back (first read, cut, freeze) leaves the time that a host has to settle, less the time to regain the store; where a target has it already, older weights are not used at all. Result: unit tests on the runtime's clock. Choices are refused earlier by the age of the proof. Why it works: no proof of completeness can be newer than the confirmation of a version that it does not contain.

--- a/include/beryllane/freshness/freshness.h
+++ b/include/beryllane/freshness/freshness.h
@@ -29,6 +29,11 @@
                           : complete_until;
   }
 
+  /// The latest proved point; `nullopt` before the first proof. @pre none.
+  std::optional<BootClock::time_point> complete_until() const {
+    return complete_until_;
+  }
+
   /// Time since the latest proved point; `nullopt` before the first proof.
   /// @pre none.
   std::optional<std::chrono::nanoseconds> Age(BootClock::time_point now) const {
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -138,14 +138,11 @@
   return takers;
 }
 
-bool Fleet::SetDesiredWeights(const DesiredWeights& weights,
-                              bool is_first_read) {
-  DesiredWeightsState& desired = desired_weights_[weights.model];
-  if (weights.version <= desired.version) return false;
-  desired.version = weights.version;
-  desired.known_since[weights.version] = BootClock::now();
-  if (is_first_read) desired.initial_versions.insert(weights.version);
-  return true;
+bool Fleet::SetDesiredWeights(
+    const DesiredWeights& weights,
+    std::optional<BootClock::time_point> complete_until) {
+  return desired_weights_[weights.model].Add(weights.version, BootClock::now(),
+                                             complete_until);
 }
 
 DesiredWeightsState Fleet::DesiredWeightsOf(const std::string& model) const {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -17,6 +17,7 @@
 #include "beryllane/clock/runtime_clock.h"
 #include "beryllane/limit/retry_window.h"
 #include "beryllane/limit/shared_limit.h"
+#include "src/fleet/desired_weights.h"
 #include "src/fleet/model.h"
 #include "src/fleet/part_cache.h"
 
@@ -86,25 +87,6 @@
   }
 };
 
-/// The weights versions that the operator named for one model.
-struct DesiredWeightsState {
-  std::uint64_t version = 0;
-  /// When this router first read each version.
-  std::map<std::uint64_t, BootClock::time_point> known_since;
-  /// Versions found by the first read: they were named at an unknown time
-  /// before this router started.
-  std::set<std::uint64_t> initial_versions;
-
-  /// Time since this router first read a version newer than `used`; zero if it
-  /// has read none. @pre none.
-  std::chrono::nanoseconds Lag(std::uint64_t used,
-                               BootClock::time_point now) const {
-    const auto newer = known_since.upper_bound(used);
-    return newer == known_since.end() ? std::chrono::nanoseconds(0)
-                                      : now - newer->second;
-  }
-};
-
 /// Configuration, targets and desired weights as this router knows them. Not
 /// thread-safe: used only on the router's loop. Runners are shared so that a
 /// request in progress keeps its target alive after the target's removal.
@@ -143,10 +125,11 @@
   int live_peers() const { return live_peers_; }
   void set_live_peers(int count) { live_peers_ = count; }
 
-  /// Sets the desired weights of a model; returns false if the version is not
-  /// newer. `is_first_read` marks a version that may have been named long
-  /// before this router started. @pre none.
-  bool SetDesiredWeights(const DesiredWeights& weights, bool is_first_read);
+  /// Sets the desired weights of a model, read now; returns false if the
+  /// version is not newer. `complete_until` as in `DesiredWeightsState::Add`.
+  /// @pre none.
+  bool SetDesiredWeights(const DesiredWeights& weights,
+                         std::optional<BootClock::time_point> complete_until);
   /// Desired weights of a model; version 0 if there are none. @pre none.
   DesiredWeightsState DesiredWeightsOf(const std::string& model) const;
   const std::map<std::string, DesiredWeightsState>& desired_weights() const {
--- a/src/fleet/fleet_frontend.cc
+++ b/src/fleet/fleet_frontend.cc
@@ -18,13 +18,21 @@
 
 // Maximum time between the check of a credential and sending its request.
 constexpr milliseconds kRevocationMargin{200};
-// Maximum time between sending a request and its start at the target.
-constexpr milliseconds kMaxQueueTime{1200};
+// The store is read again within this time of its recovery.
+constexpr milliseconds kStoreRegainTime{1000};
 // By then a retry reaches another host or finds a free slot.
 constexpr milliseconds kRetryAfter{200};
 constexpr int kUnavailable = 503;
 constexpr int kBadGateway = 502;
 
+WeightsBounds WeightsBoundsOf(const platform::Bounds& bounds) {
+  WeightsBounds weights;
+  weights.lifetime = bounds.old_weights_lifetime;
+  weights.settle_time =
+      std::max(milliseconds(0), bounds.stable_window - kStoreRegainTime);
+  return weights;
+}
+
 Error Refusal(ErrorId id, std::string message) {
   return {id, std::move(message), Verdict::kNotRun};
 }
@@ -54,7 +62,7 @@
       follower_(follower),
       placement_settings_{settings.availability_zone, settings.region,
                           settings.region_of_zone,
-                          settings.bounds.old_weights_lifetime - kMaxQueueTime},
+                          WeightsBoundsOf(settings.bounds)},
       metrics_(metrics) {}
 
 bool FleetFrontend::IsConfigFresh() const {
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -17,6 +17,8 @@
 // weights have been named for longer than this.
 constexpr milliseconds kPenaltyFreeLag{1300};
 constexpr Millis kStalePenalty{150};
+// Predicted wait at a target before a run begins.
+constexpr milliseconds kMinStartWait{1000};
 // Additional time of a runner's decoding step per request in its batch.
 constexpr double kWaitMsPerRequest = 1.5;
 // Wait at a plain service per request above its number of slots.
@@ -202,6 +204,15 @@
           Verdict::kNotRun};
 }
 
+// Whether a run at `runner` on its present weights will probably begin by the
+// deadline for these weights.
+bool WillStartInTime(const DesiredWeightsState& desired, const Runner& runner,
+                     const std::string& model, const WeightsBounds& bounds) {
+  const auto deadline = desired.StartDeadline(runner.VersionOf(model), bounds);
+  if (!deadline) return true;
+  return BootClock::now() + kMinStartWait < *deadline;
+}
+
 Result<PlacementDecision> ChooseByCost(const Fleet& fleet,
                                        const PlacementSettings& settings,
                                        const PlacementInput& input,
@@ -217,18 +228,20 @@
   }
   const DesiredWeightsState desired =
       fleet.DesiredWeightsOf(input.request.model);
-  const auto boot_now = BootClock::now();
-  // The time at which a version found by the first read was named is unknown.
-  // If a target has it already, older versions may have lagged for too long.
-  const bool is_desired_in_use =
-      by_version.rbegin()->first >= desired.version &&
-      desired.initial_versions.contains(desired.version);
+  const std::uint64_t newest = by_version.rbegin()->first;
   std::optional<PlacementDecision> best;
   for (auto it = by_version.rbegin(); it != by_version.rend(); ++it) {
-    const bool is_too_old =
-        desired.Lag(it->first, boot_now) > settings.max_weights_lag ||
-        (is_desired_in_use && it->first < desired.version);
-    if (is_too_old) continue;
+    // If the deadline is a guess, older weights serve only until a target has
+    // newer ones.
+    const bool is_replaced =
+        it->first < newest && newest >= desired.version() &&
+        desired.IsNamingUncertain(it->first, settings.weights);
+    if (is_replaced) continue;
+    std::erase_if(it->second, [&](const auto& runner) {
+      return !WillStartInTime(desired, *runner, input.request.model,
+                              settings.weights);
+    });
+    if (it->second.empty()) continue;
     PlacementDecision choice =
         ChooseForEngine(fleet, settings, input, it->second, it->first, now);
     if (!best || choice.cost_ms < best->cost_ms) best = std::move(choice);
--- a/src/fleet/placement.h
+++ b/src/fleet/placement.h
@@ -19,9 +19,9 @@
   std::string availability_zone;
   std::string region;
   std::map<std::string, std::string> region_of_zone;
-  /// Targets are not chosen once a version newer than their weights has been
-  /// known for longer than this.
-  std::chrono::milliseconds max_weights_lag{6000};
+  /// Targets with older weights are not chosen if the run would probably begin
+  /// after the deadline that follows from these bounds.
+  WeightsBounds weights;
 };
 
 /// The target chosen for one attempt, and how to send the request to it.
--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -231,10 +231,10 @@
     const DesiredWeightsState desired =
         fleet_.DesiredWeightsOf(routed_.request.model);
     const bool may_switch =
-        choice_.weights_version && *choice_.weights_version < desired.version;
+        choice_.weights_version && *choice_.weights_version < desired.version();
     if (facts.status == kMisdirectedRequest) LogWeightsRefusal(facts);
     if (facts.status == kMisdirectedRequest && may_switch) {
-      runner.RaiseVersion(routed_.request.model, desired.version);
+      runner.RaiseVersion(routed_.request.model, desired.version());
     } else if (facts.status == kMisdirectedRequest) {
       runner.Suspect(now);
     } else if (may_switch) {
@@ -289,8 +289,10 @@
   const std::string& model = routed_.request.model;
   const DesiredWeightsState desired = fleet_.DesiredWeightsOf(model);
   const std::uint64_t used = *choice_.weights_version;
-  if (used >= desired.version) return;
+  if (used >= desired.version()) return;
   const auto lag = desired.Lag(used, BootClock::now());
+  const auto deadline =
+      desired.StartDeadline(used, placement_settings_.weights);
   const auto waited = RuntimeClock::now() - prompt_.sent_at();
   metrics_.older_weights_runs.Add();
   metrics_.older_weights_lag.Record(lag);
@@ -303,11 +305,14 @@
        {"expected", used},
        {"answered", answer.weights_version.value_or(0)},
        {"believed", choice_.runner->VersionOf(model)},
-       {"desired", desired.version},
+       {"desired", desired.version()},
        {"lag_at_send_ms", duration_cast<milliseconds>(lag - waited).count()},
        {"waited_ms", duration_cast<milliseconds>(waited).count()},
        {"lag_ms", duration_cast<milliseconds>(lag).count()},
-       {"limit_ms", placement_settings_.max_weights_lag.count()}});
+       {"left_ms",
+        deadline
+            ? duration_cast<milliseconds>(*deadline - BootClock::now()).count()
+            : -1}});
 }
 
 void RunnerProtocol::LogWeightsRefusal(
@@ -321,7 +326,7 @@
                   {"expected", choice_.weights_version.value_or(0)},
                   {"answered", answer.weights_version.value_or(0)},
                   {"believed", choice_.runner->VersionOf(model)},
-                  {"desired", fleet_.DesiredWeightsOf(model).version}});
+                  {"desired", fleet_.DesiredWeightsOf(model).version()}});
 }
 
 void RunnerProtocol::RecordLimit(std::optional<double> requests_per_second) {
--- a/src/fleet/store_follower.cc
+++ b/src/fleet/store_follower.cc
@@ -131,7 +131,9 @@
     on_config_();
   } else if (auto* weights = std::get_if<DesiredWeights>(&decoded.value())) {
     const auto proof_age = freshness_.Age(BootClock::now());
-    if (!fleet_.SetDesiredWeights(*weights, !proof_age)) return;
+    if (!fleet_.SetDesiredWeights(*weights, freshness_.complete_until())) {
+      return;
+    }
     telemetry::Log(
         Level::kInfo, telemetry::event::kWeightsNamed,
         {{"model", weights->model},
--- a/src/fleet/weights_rollout.cc
+++ b/src/fleet/weights_rollout.cc
@@ -93,13 +93,13 @@
 
 std::optional<WeightsRollout::Work> WeightsRollout::FindWork() const {
   for (const auto& [model, desired] : fleet_.desired_weights()) {
-    Work work{model, desired.version, {}};
+    Work work{model, desired.version(), {}};
     bool is_behind = false;
     for (const auto& [id, runner] : fleet_.targets()) {
       const bool has_model = runner->entry.weights.contains(model);
       if (!has_model || runner->entry.is_draining) continue;
       work.runners.push_back(runner);
-      is_behind = is_behind || runner->VersionOf(model) < desired.version;
+      is_behind = is_behind || runner->VersionOf(model) < desired.version();
     }
     if (is_behind) return work;
   }
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -161,9 +161,9 @@
 TEST(FleetState, LagCountsFromTheFirstNewerVersion) {
   const PausedClock paused;
   Fleet fleet;
-  fleet.SetDesiredWeights({"m", 2}, false);
+  fleet.SetDesiredWeights({"m", 2}, BootClock::now());
   RuntimeClock::Advance(seconds(5));
-  fleet.SetDesiredWeights({"m", 3}, false);
+  fleet.SetDesiredWeights({"m", 3}, BootClock::now());
   RuntimeClock::Advance(seconds(1));
   const DesiredWeightsState goal = fleet.DesiredWeightsOf("m");
   const auto now = BootClock::now();
@@ -213,7 +213,7 @@
 TEST_F(FleetPlacement, ARouterThatFoundTheGoalAtItsStartUsesNewWeights) {
   fleet_.SetTarget(Entry("old", "s", 1));
   fleet_.SetTarget(Entry("new", "s", 2));
-  fleet_.SetDesiredWeights({"m", 2}, true);
+  fleet_.SetDesiredWeights({"m", 2}, std::nullopt);
   fleet_.AvailableTargets("s")[0]->own_running = 0;
   for (auto& runner : fleet_.AvailableTargets("s")) {
     if (runner->entry.id == "new") runner->own_pending_prefill_tokens = 1000000;
@@ -223,7 +223,7 @@
 
 TEST_F(FleetPlacement, OldWeightsAreNotUsedOnceTheyLagTooLong) {
   fleet_.SetTarget(Entry("old", "s", 1));
-  fleet_.SetDesiredWeights({"m", 2}, false);
+  fleet_.SetDesiredWeights({"m", 2}, BootClock::now());
   EXPECT_TRUE(Choose().ok());
   RuntimeClock::Advance(seconds(7));
   const auto refused = Choose();
@@ -231,6 +231,25 @@
   EXPECT_EQ(refused.error().verdict, Verdict::kNotRun);
 }
 
+TEST_F(FleetPlacement, AVersionCountsFromTheLastProofBeforeItWasRead) {
+  fleet_.SetTarget(Entry("old", "s", 1));
+  const auto complete_until = BootClock::now();
+  RuntimeClock::Advance(seconds(2));
+  fleet_.SetDesiredWeights({"m", 2}, complete_until);
+  RuntimeClock::Advance(seconds(4));
+  EXPECT_TRUE(Choose().ok());
+  RuntimeClock::Advance(seconds(1));
+  EXPECT_FALSE(Choose().ok());
+}
+
+TEST_F(FleetPlacement, AVersionFoundAtTheStartLeavesTimeToSettle) {
+  fleet_.SetTarget(Entry("old", "s", 1));
+  fleet_.SetDesiredWeights({"m", 2}, std::nullopt);
+  EXPECT_TRUE(Choose().ok());
+  RuntimeClock::Advance(seconds(2));
+  EXPECT_FALSE(Choose().ok());
+}
+
 TEST_F(FleetPlacement, ARunnerMustAnswerWithTheVersionThatItsSaltNames) {
   fleet_.SetTarget(Entry("a", "s", 7));
   const auto choice = Choose();
