Take a refusal for other weights as a doubt, not as a proof of the desired ones

What callers saw: requests on older weights after the bound, and refusals by a target that could have served them. Cause: a target that refuses with 421 does not say which weights it has. The router believed that it had the desired version. Where the target had an intermediate one and the router held the lease for orders, it was not ordered to load; the router sent it requests that it could only refuse, while the other routers sent it requests on its older weights. The entry of the list of targets was merged with that belief, and what it showed was lost. Change: the list's entry and reported weights are kept apart. A report counts until the list must show it, and falls when the target refuses what it claims. A refusal raises nothing unless the answer names the version; while newer weights are desired the target is passed over for a moment. Why it works: only a report, an accepted order or the list can now end a target's turn in the rollout, and each of them names a version.

--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -32,18 +32,30 @@
 }  // namespace
 
 std::uint64_t Runner::VersionOf(const std::string& model) const {
-  const auto it = entry.weights.find(model);
-  return it == entry.weights.end() ? 0 : it->second;
+  const auto listed = entry.weights.find(model);
+  const std::uint64_t version =
+      listed == entry.weights.end() ? 0 : listed->second;
+  const auto reported = reported_weights.find(model);
+  const bool has_report =
+      reported != reported_weights.end() &&
+      RuntimeClock::now() - reported->second.received_at < kMaxListLag;
+  return has_report ? std::max(version, reported->second.version) : version;
 }
 
 void Runner::RaiseVersion(const std::string& model, std::uint64_t version) {
-  std::uint64_t& known = entry.weights[model];
-  if (version <= known) return;
-  known = version;
-  version_raised_at = RuntimeClock::now();
+  if (version <= VersionOf(model)) return;
+  reported_weights[model] = {version, RuntimeClock::now()};
   cache.Clear();
 }
 
+bool Runner::RefuteVersion(const std::string& model, std::uint64_t version) {
+  const auto reported = reported_weights.find(model);
+  const bool is_refuted =
+      reported != reported_weights.end() && reported->second.version == version;
+  if (is_refuted) reported_weights.erase(reported);
+  return is_refuted;
+}
+
 double Runner::EstimatedLoad(RuntimeClock::time_point now) const {
   double running = 0;
   for (const auto& [peer, load] : peer_loads) {
@@ -93,13 +105,8 @@
                        runner->entry.address == entry.address;
   if (is_same) {
     if (entry.sequence < runner->entry.sequence) return;
-    const bool is_list_behind =
-        RuntimeClock::now() - runner->version_raised_at < kMaxListLag;
-    for (auto& [model, version] : runner->entry.weights) {
-      if (!is_list_behind) break;
-      std::uint64_t& listed = entry.weights[model];
-      if (listed > version) runner->cache.Clear();
-      listed = std::max(listed, version);
+    for (const auto& [model, listed] : entry.weights) {
+      if (listed > runner->VersionOf(model)) runner->cache.Clear();
     }
     entry.is_draining = entry.is_draining || runner->entry.is_draining;
     runner->entry = std::move(entry);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -60,15 +60,24 @@
   /// Limit on the requests of all routers that the target named.
   SharedLimit limit;
   PartCache cache;
-  /// When `RaiseVersion` last raised a version.
-  RuntimeClock::time_point version_raised_at;
+  /// Weights that the target or a peer reported and that the list of targets
+  /// does not show yet, by model.
+  struct ReportedWeights {
+    std::uint64_t version = 0;
+    RuntimeClock::time_point received_at;
+  };
+  std::map<std::string, ReportedWeights> reported_weights;
 
-  /// Weights version of a model; 0 if unknown. @pre none.
+  /// Weights version of a model; 0 if unknown. A report counts until the list
+  /// must show it, as it may stem from an earlier incarnation. @pre none.
   std::uint64_t VersionOf(const std::string& model) const;
-  /// Raises the known weights version of a model and clears the cache, whose
+  /// Records a reported weights version of a model and clears the cache, whose
   /// entries belong to the older version. A version that is not newer changes
   /// nothing. @pre none.
   void RaiseVersion(const std::string& model, std::uint64_t version);
+  /// The target refused a request that expected `version`. Returns whether that
+  /// version was known from a report alone, which is then dropped. @pre none.
+  bool RefuteVersion(const std::string& model, std::uint64_t version);
   /// Estimated number of requests that run or are queued at the target. @pre
   /// none.
   double EstimatedLoad(RuntimeClock::time_point now) const;
--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -227,21 +227,7 @@
   }
   has_failure_answer_ = facts.is_not_run;
   if (facts.is_not_run) {
-    constexpr int kMisdirectedRequest = 421;
-    const DesiredWeightsState desired =
-        fleet_.DesiredWeightsOf(routed_.request.model);
-    const bool may_switch =
-        choice_.weights_version && *choice_.weights_version < desired.version();
-    if (facts.status == kMisdirectedRequest) LogWeightsRefusal(facts);
-    if (facts.status == kMisdirectedRequest && may_switch) {
-      runner.RaiseVersion(routed_.request.model, desired.version());
-    } else if (facts.status == kMisdirectedRequest) {
-      runner.Suspect(now);
-    } else if (may_switch) {
-      runner.switching_until = now + kSwitchBackoff;
-    } else {
-      runner.full_until = now + kFullBackoff;
-    }
+    ApplyRefusal(facts);
     return {Classification::Kind::kFailed,
             {ErrorId::kTargetFailed,
              fmt::format("{} refused with status {}", target.id, facts.status),
@@ -283,6 +269,33 @@
   return {Classification::Kind::kRelay, {}};
 }
 
+void RunnerProtocol::ApplyRefusal(const platform::TargetAnswer& answer) {
+  constexpr int kMisdirectedRequest = 421;
+  const auto now = RuntimeClock::now();
+  const std::string& model = routed_.request.model;
+  Runner& runner = *choice_.runner;
+  const bool may_switch =
+      choice_.weights_version &&
+      *choice_.weights_version < fleet_.DesiredWeightsOf(model).version();
+  if (answer.status != kMisdirectedRequest) {
+    (may_switch ? runner.switching_until : runner.full_until) =
+        now + (may_switch ? kSwitchBackoff : kFullBackoff);
+    return;
+  }
+  LogWeightsRefusal(answer);
+  const bool is_refuted = choice_.weights_version &&
+                          runner.RefuteVersion(model, *choice_.weights_version);
+  // The refusal does not say which weights the target has. A guess would keep
+  // the target from being ordered to load.
+  if (answer.weights_version) {
+    runner.RaiseVersion(model, *answer.weights_version);
+  } else if (may_switch) {
+    runner.switching_until = now + kSwitchBackoff;
+  } else if (!is_refuted) {
+    runner.Suspect(now);
+  }
+}
+
 void RunnerProtocol::RecordOlderRun(
     const platform::TargetAnswer& answer) const {
   if (!choice_.weights_version) return;
--- a/src/fleet/runner_protocol.h
+++ b/src/fleet/runner_protocol.h
@@ -110,6 +110,8 @@
   // Reverts `ExpectCachedParts` after a failed attempt.
   void RetractExpectedParts();
   void LogChoice() const;
+  // Records what a refusal as not run says about the target.
+  void ApplyRefusal(const platform::TargetAnswer& answer);
   // Records a run on weights older than the desired ones.
   void RecordOlderRun(const platform::TargetAnswer& answer) const;
   void LogWeightsRefusal(const platform::TargetAnswer& answer) const;
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -129,6 +129,33 @@
   EXPECT_EQ(runner->VersionOf("m"), 1U);
 }
 
+// The list names a change once; it was lost while a report was believed.
+TEST(FleetState, TheListCountsOnceAReportHasExpired) {
+  const PausedClock paused;
+  Fleet fleet;
+  RuntimeClock::Advance(seconds(10));
+  fleet.SetTarget(Entry("i", "s", 1));
+  const auto runner = fleet.AvailableTargets("s")[0];
+  runner->RaiseVersion("m", 3);
+  fleet.SetTarget(Entry("i", "s", 2));
+  EXPECT_EQ(runner->VersionOf("m"), 3U);
+  RuntimeClock::Advance(seconds(6));
+  EXPECT_EQ(runner->VersionOf("m"), 2U);
+}
+
+TEST(FleetState, ARefusalDropsAReportedVersionButNotAListedOne) {
+  const PausedClock paused;
+  Fleet fleet;
+  fleet.SetTarget(Entry("i", "s", 1));
+  const auto runner = fleet.AvailableTargets("s")[0];
+  EXPECT_FALSE(runner->RefuteVersion("m", 1));
+  EXPECT_EQ(runner->VersionOf("m"), 1U);
+  runner->RaiseVersion("m", 3);
+  EXPECT_FALSE(runner->RefuteVersion("m", 2));
+  EXPECT_TRUE(runner->RefuteVersion("m", 3));
+  EXPECT_EQ(runner->VersionOf("m"), 1U);
+}
+
 TEST(FleetState, TheLongestPrefixWins) {
   FleetConfig config;
   for (const char* prefix : {"/a/", "/a/b/", "/"}) {
