Begin runs on older weights before a deadline, or not at all

What callers saw: requests that waited at a slow target ran on weights that had been replaced longer ago than the deployment's bound. Cause: a bound checked at a decision, not at the act that it bounds. Change: a request to a target has a deadline by which its run must have begun. It is checked again right before the request is written and while the request waits for the head of the answer, also for a version that is named meanwhile; then the request is withdrawn by closing the connection, and sent elsewhere where it may be repeated. The choice predicts the wait at each target from this router's recent and present waits there, so that requests that may run only once keep away from slow targets in time. Why it works: a run begins with the head of its answer, and a target drops a queued request whose connection closes.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -20,6 +20,7 @@
 #include "src/fleet/desired_weights.h"
 #include "src/fleet/model.h"
 #include "src/fleet/part_cache.h"
+#include "src/fleet/start_wait.h"
 
 namespace beryllane::fleet {
 
@@ -60,6 +61,7 @@
   /// Limit on the requests of all routers that the target named.
   SharedLimit limit;
   PartCache cache;
+  StartWait start_wait;
   /// Weights that the target or a peer reported and that the list of targets
   /// does not show yet, by model.
   struct ReportedWeights {
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -10,6 +10,7 @@
 namespace {
 
 using placement::Distance;
+using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 using Millis = std::chrono::duration<double, std::milli>;
 
@@ -17,8 +18,10 @@
 // weights have been named for longer than this.
 constexpr milliseconds kPenaltyFreeLag{1300};
 constexpr Millis kStalePenalty{150};
-// Predicted wait at a target before a run begins.
+// Predicted wait at a target before a run begins: at least the minimum, and
+// longer than the recent waits, as load may grow.
 constexpr milliseconds kMinStartWait{1000};
+constexpr double kStartWaitFactor = 1.25;
 // Additional time of a runner's decoding step per request in its batch.
 constexpr double kWaitMsPerRequest = 1.5;
 // Wait at a plain service per request above its number of slots.
@@ -210,7 +213,11 @@
                      const std::string& model, const WeightsBounds& bounds) {
   const auto deadline = desired.StartDeadline(runner.VersionOf(model), bounds);
   if (!deadline) return true;
-  return BootClock::now() + kMinStartWait < *deadline;
+  const auto predicted =
+      kStartWaitFactor * duration_cast<milliseconds>(
+                             runner.start_wait.Predict(RuntimeClock::now()));
+  const auto wait = std::max<Millis>(kMinStartWait, predicted);
+  return BootClock::now() + duration_cast<milliseconds>(wait) < *deadline;
 }
 
 Result<PlacementDecision> ChooseByCost(const Fleet& fleet,
--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -83,6 +83,10 @@
       older_weights_runs(registry.GetCounter(
           "beryllane_fleet_older_weights_runs_total",
           "Runs that began on weights older than the desired ones")),
+      withdrawn(registry.GetCounter(
+          "beryllane_fleet_withdrawn_total",
+          "Requests withdrawn from targets because the run had not begun "
+          "before newer weights had to be used")),
       older_weights_lag(registry.GetHistogram(
           "beryllane_fleet_older_weights_lag_seconds",
           "Time since newer weights were read, for runs on older weights")),
@@ -122,6 +126,8 @@
 RunnerProtocol::~RunnerProtocol() { ReleaseLoad(); }
 
 void RunnerProtocol::ReleaseLoad() {
+  if (is_waiting_) choice_.runner->start_wait.OnEnded(prompt_.sent_at());
+  is_waiting_ = false;
   if (!is_load_counted_) return;
   is_load_counted_ = false;
   --choice_.runner->own_running;
@@ -174,7 +180,11 @@
 }
 
 net::Request RunnerProtocol::Encode(const Target& target) {
-  prompt_.OnSent(choice_.runner, RuntimeClock::now());
+  const auto now = RuntimeClock::now();
+  prompt_.OnSent(choice_.runner, now);
+  choice_.runner->start_wait.OnSent(now);
+  is_waiting_ = true;
+  is_withdrawn_ = false;
   has_failure_answer_ = false;
   platform::TargetRequestOptions call;
   call.target_id = target.id;
@@ -195,17 +205,57 @@
                   choice_.not_before - RuntimeClock::now());
 }
 
-net::CallOptions RunnerProtocol::Options() const {
+net::CallOptions RunnerProtocol::Options() {
   net::CallOptions options;
   options.connect_timeout =
       std::min<std::chrono::nanoseconds>(kConnectTimeout, routed_.TimeLeft());
   options.answer_timeout = ProgressTimeout();
+  options.may_send = [this] { return MaySend(); };
+  options.more_time = [this] { return ExtendWait(); };
   options.unstated_idle_limit = kUnstatedIdleLimit;
   return options;
 }
 
 std::chrono::nanoseconds RunnerProtocol::ProgressTimeout() const {
-  return std::max(milliseconds(1), routed_.TimeLeft());
+  constexpr std::chrono::nanoseconds kShortest = milliseconds(1);
+  std::chrono::nanoseconds left = routed_.TimeLeft();
+  if (is_waiting_) left = std::min(left, TimeToStart());
+  return std::max(kShortest, left);
+}
+
+std::chrono::nanoseconds RunnerProtocol::TimeToStart() const {
+  if (!routed_.service->engine) return std::chrono::nanoseconds::max();
+  const WeightsBounds& bounds = placement_settings_.weights;
+  const auto deadline =
+      fleet_.DesiredWeightsOf(routed_.request.model)
+          .StartDeadline(choice_.weights_version.value_or(0), bounds);
+  // A version that is named while the request waits is read well before then.
+  constexpr int kChecks = 4;
+  if (!deadline) return bounds.lifetime / kChecks;
+  return *deadline - BootClock::now();
+}
+
+bool RunnerProtocol::MaySend() const {
+  return TimeToStart() > std::chrono::nanoseconds(0);
+}
+
+std::chrono::nanoseconds RunnerProtocol::ExtendWait() {
+  constexpr std::chrono::nanoseconds kNone{0};
+  const std::chrono::nanoseconds left = routed_.TimeLeft();
+  if (left <= kNone) return kNone;
+  if (!is_waiting_) return left;
+  const auto to_start = TimeToStart();
+  if (to_start > kNone) return std::min(left, to_start);
+  is_withdrawn_ = true;
+  metrics_.withdrawn.Add();
+  LogWithdrawal();
+  return kNone;
+}
+
+void RunnerProtocol::OnBegan() {
+  if (!is_waiting_) return;
+  is_waiting_ = false;
+  choice_.runner->start_wait.OnBegan(prompt_.sent_at(), RuntimeClock::now());
 }
 
 Classification RunnerProtocol::Classify(const net::AnswerStream& answer,
@@ -238,6 +288,7 @@
   if (is_success) {
     prompt_.OnHead(now);
     RecordOlderRun(facts);
+    OnBegan();
     const bool has_events = net::Header(answer.head(), "Content-Type")
                                 .starts_with("text/event-stream");
     if (IsStream(answer) && has_events && !relay_) relay_.emplace(std::nullopt);
@@ -304,8 +355,6 @@
   const std::uint64_t used = *choice_.weights_version;
   if (used >= desired.version()) return;
   const auto lag = desired.Lag(used, BootClock::now());
-  const auto deadline =
-      desired.StartDeadline(used, placement_settings_.weights);
   const auto waited = RuntimeClock::now() - prompt_.sent_at();
   metrics_.older_weights_runs.Add();
   metrics_.older_weights_lag.Record(lag);
@@ -322,10 +371,24 @@
        {"lag_at_send_ms", duration_cast<milliseconds>(lag - waited).count()},
        {"waited_ms", duration_cast<milliseconds>(waited).count()},
        {"lag_ms", duration_cast<milliseconds>(lag).count()},
-       {"left_ms",
-        deadline
-            ? duration_cast<milliseconds>(*deadline - BootClock::now()).count()
-            : -1}});
+       {"left_ms", duration_cast<milliseconds>(TimeToStart()).count()}});
+}
+
+void RunnerProtocol::LogWithdrawal() const {
+  const std::string& model = routed_.request.model;
+  const DesiredWeightsState desired = fleet_.DesiredWeightsOf(model);
+  const std::uint64_t expected = choice_.weights_version.value_or(0);
+  const auto lag = desired.Lag(expected, BootClock::now());
+  const auto waited = RuntimeClock::now() - prompt_.sent_at();
+  telemetry::Log(telemetry::Level::kWarning,
+                 telemetry::event::kRequestWithdrawn,
+                 {{"request", routed_.request.id},
+                  {"target", choice_.runner->entry.id},
+                  {"expected", expected},
+                  {"believed", choice_.runner->VersionOf(model)},
+                  {"desired", desired.version()},
+                  {"waited_ms", duration_cast<milliseconds>(waited).count()},
+                  {"lag_ms", duration_cast<milliseconds>(lag).count()}});
 }
 
 void RunnerProtocol::LogWeightsRefusal(
@@ -433,9 +496,11 @@
   const bool is_alive =
       error->id == ErrorId::kTargetSilent &&
       now - choice_.runner->last_received_at < kReachabilityLifetime;
-  if (is_unreachable && !is_alive) choice_.runner->Suspect(now);
-  // If the connection was not established, the request cannot have arrived.
-  const bool has_arrived = error->id != ErrorId::kTargetUnreachable;
+  if (is_unreachable && !is_alive && !is_withdrawn_) {
+    choice_.runner->Suspect(now);
+  }
+  const bool has_arrived = error->id != ErrorId::kTargetUnreachable &&
+                           error->id != ErrorId::kTargetWithdrawn;
   if (has_arrived) ++delivered_;
   if (error->verdict != Verdict::kNotRun) ++possible_runs_;
   LogFailedAttempt(target, *error);
@@ -472,7 +537,8 @@
   const bool is_safe = error.verdict == Verdict::kNotRun || IsIdempotent();
   if (!is_safe) return false;
   if (IsBrokenOff(error) && quarantine_.IsRepeatUnsafe(prompt_)) return false;
-  if (delivered_ == 0) return true;
+  const bool was_sent = error.id != ErrorId::kTargetWithdrawn;
+  if (delivered_ == 0 || !was_sent) return true;
   if (possible_runs_ >= routed_.route->max_attempts) return false;
   RetryWindow& budget = fleet_.BudgetOf(routed_.service->name);
   if (!budget.TryAcquire(RuntimeClock::now())) {
--- a/src/fleet/runner_protocol.h
+++ b/src/fleet/runner_protocol.h
@@ -34,6 +34,7 @@
   Counter& budget_spent;
   Counter& foreign_answers;
   Counter& older_weights_runs;
+  Counter& withdrawn;
   LatencyHistogram& older_weights_lag;
   LatencyHistogram& first_byte;
 };
@@ -72,7 +73,7 @@
   Result<exchange::Target> Choose();
   std::chrono::nanoseconds SendDelay() const;
   net::Request Encode(const exchange::Target& target);
-  net::CallOptions Options() const;
+  net::CallOptions Options();
   std::chrono::nanoseconds ProgressTimeout() const;
   exchange::Classification Classify(const net::AnswerStream& answer,
                                     const exchange::Target& target);
@@ -114,6 +115,16 @@
   void ApplyRefusal(const platform::TargetAnswer& answer);
   // Records a run on weights older than the desired ones.
   void RecordOlderRun(const platform::TargetAnswer& answer) const;
+  // Time until the run must have begun on the weights that were expected, or
+  // until this is to be asked again.
+  std::chrono::nanoseconds TimeToStart() const;
+  // Whether the run can still begin in time. Called right before sending.
+  bool MaySend() const;
+  // The further time to wait for the answer; zero if the request is to be
+  // withdrawn.
+  std::chrono::nanoseconds ExtendWait();
+  void OnBegan();
+  void LogWithdrawal() const;
   void LogWeightsRefusal(const platform::TargetAnswer& answer) const;
   // Applies the limit that the target named, or that it named none.
   void RecordLimit(std::optional<double> requests_per_second);
@@ -133,6 +144,10 @@
   std::vector<std::string> tried_targets_;
   PlacementDecision choice_;
   bool is_load_counted_ = false;
+  // Whether the request was sent and its run is not known to have begun.
+  bool is_waiting_ = false;
+  // Whether the attempt ended because its run had not begun in time.
+  bool is_withdrawn_ = false;
   // Keys of the parts that the chosen runner is expected to cache.
   std::vector<std::uint64_t> expected_parts_;
   // Number of attempts that may have reached a target; those after the first
--- a/src/telemetry/log.h
+++ b/src/telemetry/log.h
@@ -43,6 +43,7 @@
 inline constexpr std::string_view kWeightsInPlace = "weights-in-place";
 inline constexpr std::string_view kWeightsRefused = "weights-refused";
 inline constexpr std::string_view kOlderWeightsRun = "older-weights-run";
+inline constexpr std::string_view kRequestWithdrawn = "request-withdrawn";
 inline constexpr std::string_view kPeersUnavailable = "peers-unavailable";
 inline constexpr std::string_view kReloaded = "reloaded";
 inline constexpr std::string_view kTargetLimit = "target-limit";
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -258,6 +258,20 @@
   EXPECT_EQ(refused.error().verdict, Verdict::kNotRun);
 }
 
+TEST_F(FleetPlacement, OldWeightsAreNotUsedWhereRequestsWaitTooLong) {
+  fleet_.SetTarget(Entry("slow", "s", 1));
+  fleet_.SetDesiredWeights({"m", 2}, BootClock::now());
+  RuntimeClock::Advance(seconds(4));
+  EXPECT_TRUE(Choose().ok());
+  const auto sent_at = RuntimeClock::now();
+  StartWait& wait = fleet_.AvailableTargets("s")[0]->start_wait;
+  wait.OnSent(sent_at);
+  RuntimeClock::Advance(milliseconds(1800));
+  EXPECT_FALSE(Choose().ok());
+  wait.OnBegan(sent_at, RuntimeClock::now());
+  EXPECT_FALSE(Choose().ok());
+}
+
 TEST_F(FleetPlacement, AVersionCountsFromTheLastProofBeforeItWasRead) {
   fleet_.SetTarget(Entry("old", "s", 1));
   const auto complete_until = BootClock::now();
--- a/tests/src/unit-weights.cpp
+++ b/tests/src/unit-weights.cpp
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "src/fleet/desired_weights.h"
+#include "src/fleet/start_wait.h"
 
 namespace beryllane::fleet {
 namespace {
@@ -57,5 +58,26 @@
   EXPECT_FALSE(desired.IsNamingUncertain(2, kBounds));
 }
 
+TEST(StartWait, TheLongestWaitCountsAndLosesWeight) {
+  const RuntimeClock::time_point start(std::chrono::hours(1));
+  StartWait wait;
+  EXPECT_EQ(wait.Predict(start), seconds(0));
+  wait.OnSent(start);
+  wait.OnSent(start + seconds(1));
+  EXPECT_EQ(wait.Predict(start + seconds(2)), seconds(2));
+  wait.OnBegan(start, start + seconds(2));
+  wait.OnBegan(start + seconds(1), start + seconds(2));
+  EXPECT_EQ(wait.Predict(start + seconds(2)), seconds(2));
+  EXPECT_EQ(wait.Predict(start + seconds(4)), seconds(1));
+}
+
+TEST(StartWait, ARequestThatEndedBeforeItsRunLeavesNoWait) {
+  const RuntimeClock::time_point start(std::chrono::hours(1));
+  StartWait wait;
+  wait.OnSent(start);
+  wait.OnEnded(start);
+  EXPECT_EQ(wait.Predict(start + seconds(2)), seconds(0));
+}
+
 }  // namespace
 }  // namespace beryllane::fleet
