--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -64,7 +64,9 @@
 
 AnswerStream::AnswerStream(std::unique_ptr<Connection> connection,
                            HttpClient& client, CallOptions options)
-    : connection_(std::move(connection)), client_(client), options_(options) {
+    : connection_(std::move(connection)),
+      client_(client),
+      options_(std::move(options)) {
   ResetParser();
 }
 
--- a/standins/runner_main.cc
+++ b/standins/runner_main.cc
@@ -264,7 +264,9 @@
     constexpr milliseconds kPoll{5};
     ++queued_;
     const std::shared_ptr<void> guard(nullptr, [this](void*) { --queued_; });
-    while (faults_.hold) co_await net::Sleep(kPoll);
+    while (faults_.hold) {
+      co_await net::Sleep(kPoll);
+    }
   }
 
   // Waits for a change as long as the call allows.
