Show that earlier answers written once more are believed

The stand-in runner writes, a moment after an answer, its newest refusal once more on the same connection, with the id of its request or without; reports in the same way. Its own refusals now bear the request's id, as the protocol asks; a control switch takes it away.

--- a/standins/runner_main.cc
+++ b/standins/runner_main.cc
@@ -9,6 +9,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 
 #include "fmt/format.h"
@@ -44,6 +45,14 @@
 struct RunnerFaults {
   // Requests are refused with the proof that they did not run.
   bool refuse = false;
+  // Refusals name the request that they refuse, as the protocol asks.
+  bool name_refusals = true;
+  // The newest refusal is written once more this long after each whole answer,
+  // on the same connection; negative is never.
+  milliseconds repeat_refusal_after{-1};
+  // A report is written once more this long after it was given, on the same
+  // connection; negative is never.
+  milliseconds repeat_report_after{-1};
   // Requests run and their connection closes without an answer.
   bool lose_answers = false;
   // Requests run and fail.
@@ -94,12 +103,9 @@
     const std::string_view expected =
         net::Header(exchange.request(), "Expect-Instance");
     if (!expected.empty() && expected != id_) {
-      net::Response answer = JsonAnswer(421, json::object());
-      answer.set("Instance-Id", id_);
-      co_await exchange.Respond(std::move(answer));
+      co_await Refuse(exchange, 421);
     } else if (path == "/api/report") {
-      net::Response answer = JsonAnswer(200, Report());
-      co_await exchange.Respond(std::move(answer));
+      co_await TellReport(exchange);
     } else if (path.starts_with("/api/kv-events?since=")) {
       co_await TellCacheChanges(exchange, path);
     } else if (path == "/api/order" && faults_.ignore_orders) {
@@ -116,6 +122,14 @@
     const json change = json::parse(exchange.request().body(), nullptr, false);
     if (change.is_object()) {
       faults_.refuse = change.value("refuse", faults_.refuse);
+      faults_.name_refusals =
+          change.value("name_refusals", faults_.name_refusals);
+      faults_.repeat_refusal_after = milliseconds(
+          change.value("repeat_refusal_after_ms",
+                       std::int64_t{faults_.repeat_refusal_after.count()}));
+      faults_.repeat_report_after = milliseconds(
+          change.value("repeat_report_after_ms",
+                       std::int64_t{faults_.repeat_report_after.count()}));
       faults_.lose_answers = change.value("lose_answers", faults_.lose_answers);
       faults_.fail = change.value("fail", faults_.fail);
       faults_.answer_other = change.value("answer_other", faults_.answer_other);
@@ -156,6 +170,16 @@
             {"born", born_}};
   }
 
+  awaitable<void> TellReport(net::Exchange& exchange) const {
+    net::Response answer = JsonAnswer(200, Report());
+    answer.set("Keep-Alive", "timeout=5");
+    net::Response repeated = answer;
+    co_await exchange.Respond(std::move(answer));
+    if (faults_.repeat_report_after < milliseconds(0)) co_return;
+    co_await net::Sleep(faults_.repeat_report_after);
+    co_await exchange.Respond(std::move(repeated));
+  }
+
   // Writes its entry into the store again and again, as targets do.
   awaitable<void> Register() {
     constexpr milliseconds kBeat{150};
@@ -215,11 +239,7 @@
     const bool is_other_version =
         !version.empty() && version != std::to_string(version_);
     if (faults_.refuse || is_loading_ || is_other_version) {
-      net::Response answer =
-          JsonAnswer(is_other_version ? 421 : 503, json::object());
-      answer.set("Not-Executed", "1");
-      answer.set("Instance-Id", id_);
-      co_await exchange.Respond(std::move(answer));
+      co_await Refuse(exchange, is_other_version ? 421 : 503);
       co_return;
     }
     ++runs_[id];
@@ -246,6 +266,29 @@
     } else {
       co_await Stream(exchange, id);
     }
+    co_await RepeatRefusal(exchange);
+  }
+
+  awaitable<void> Refuse(net::Exchange& exchange, int status) {
+    net::Response refusal = JsonAnswer(status, json::object());
+    const std::string_view id = net::Header(exchange.request(), kRequestId);
+    if (faults_.name_refusals && !id.empty()) {
+      refusal.set(std::string(kRequestId), std::string(id));
+    }
+    refusal.set("Not-Executed", "1");
+    refusal.set("Instance-Id", id_);
+    last_refusal_ = refusal;
+    co_await exchange.Respond(std::move(refusal));
+  }
+
+  awaitable<void> RepeatRefusal(net::Exchange& exchange) const {
+    if (faults_.repeat_refusal_after < milliseconds(0)) co_return;
+    if (!last_refusal_ || !exchange.is_reusable()) co_return;
+    if (faults_.repeat_refusal_after > milliseconds(0)) {
+      co_await net::Sleep(faults_.repeat_refusal_after);
+    }
+    net::Response repeated = *last_refusal_;
+    co_await exchange.Respond(std::move(repeated));
   }
 
   // Waits for a change as long as the call allows.
@@ -351,6 +394,7 @@
   std::int64_t born_;
   std::string state_ = "ready";
   RunnerFaults faults_;
+  std::optional<net::Response> last_refusal_;
   std::map<std::string, int> runs_;
   json last_;
   std::vector<json> orders_;
--- a/tests/src/process-rollout.cpp
+++ b/tests/src/process-rollout.cpp
@@ -51,6 +51,27 @@
   EXPECT_EQ(answer.value().body(), PlatformFleet::WholeStream());
 }
 
+TEST_F(PlatformRollout, AnEarlierReportIsNotTakenForTheAnswerToAnOrder) {
+  for (int i = 0; i < PlatformFleet::kRunners; ++i) {
+    fleet_.ControlRunner(
+        i, {{"repeat_report_after_ms", 100}, {"ignore_orders", true}});
+  }
+  Name(2);
+  EXPECT_TRUE(Eventually([&] {
+    return fleet_.Metric(0, "beryllane_orders_total") +
+               fleet_.Metric(1, "beryllane_orders_total") +
+               fleet_.Metric(2, "beryllane_orders_total") >=
+           PlatformFleet::kRunners;
+  }));
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_EQ(fleet_.LogOf(i).find("weights-in-place"), std::string::npos);
+  }
+  for (int i = 0; i < PlatformFleet::kRunners; ++i) {
+    fleet_.ControlRunner(i, {{"ignore_orders", false}});
+  }
+  EXPECT_TRUE(Eventually([&] { return AllHave(2); }));
+}
+
 TEST_F(PlatformRollout, AnotherRouterGoesOnWhenTheHolderIsKilled) {
   Name(2);
   EXPECT_TRUE(Eventually([&] { return AllHave(2); }));
--- a/tests/src/process-target_bytes.cpp
+++ b/tests/src/process-target_bytes.cpp
@@ -179,6 +179,16 @@
   EXPECT_LT(std::chrono::steady_clock::now() - start, milliseconds(2000));
 }
 
+TEST_F(TargetBytes, AnswersToOtherRequestsDoNotExtendTheDeadline) {
+  const std::string other =
+      "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 0\r\n\r\n";
+  const ScriptedTarget target(other, other, milliseconds(300));
+  Register(target, "desk");
+  const auto answer = fleet_.Send(0, "/book/x", "r", {{"Deadline-Ms", "600"}});
+  ASSERT_TRUE(answer.ok());
+  EXPECT_EQ(answer.value().result_int(), 504U);
+}
+
 TEST_F(TargetBytes, AnEventWithoutEndIsCutAtABound) {
   const ScriptedTarget target(StreamHead() + "id: 1\ndata: ",
                               std::string(65536, 'x'));
