Believe a refusal only if it can belong to no other request

Cause: an answer was skipped only if it named another request. A refusal without a name was believed, though on a connection that was used before it may be an earlier one that the target writes once more while the request is on its way.

Change: a refusal counts if it names the request, which a target is sent only once, or if it is the first answer on its connection. Any other one proves nothing. A request that may run only once waits for the next answer until its deadline; one that may run again is sent to another target, on a new connection, so that what refuses it next proves it. New: the event `unproven-refusal` and `beryllane_fleet_unproven_refusals_total`.

What it costs: of a target that never names requests, the first refusal on a reused connection leaves its caller without a proof.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -19,6 +19,7 @@
 #include "beryllane/limit/shared_limit.h"
 #include "src/fleet/model.h"
 #include "src/fleet/part_cache.h"
+#include "src/fleet/refusal_naming.h"
 
 namespace beryllane::fleet {
 
@@ -56,6 +57,7 @@
   /// The target refused a request because it was full. Until this time it has
   /// an additional cost.
   RuntimeClock::time_point full_until;
+  RefusalNaming refusal_naming;
   /// Limit on the requests of all routers that the target named.
   SharedLimit limit;
   PartCache cache;
--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -80,6 +80,9 @@
       foreign_answers(
           registry.GetCounter("beryllane_fleet_foreign_answers_total",
                               "Answers that belonged to another request")),
+      unproven_refusals(registry.GetCounter(
+          "beryllane_fleet_unproven_refusals_total",
+          "Refusals that may have belonged to another request")),
       older_weights_runs(registry.GetCounter(
           "beryllane_fleet_older_weights_runs_total",
           "Runs that began on weights older than the desired ones")),
@@ -201,6 +204,10 @@
       std::min<std::chrono::nanoseconds>(kConnectTimeout, routed_.TimeLeft());
   options.answer_timeout = ProgressTimeout();
   options.unstated_idle_limit = kUnstatedIdleLimit;
+  const bool is_naming_unsure =
+      choice_.runner->refusal_naming.NeedsNewConnection(RuntimeClock::now());
+  options.needs_new_connection =
+      has_unproven_refusal_ || (is_naming_unsure && !IsIdempotent());
   return options;
 }
 
@@ -219,6 +226,12 @@
     return {Classification::Kind::kMismatched, {}};
   }
   Runner& runner = *choice_.runner;
+  const bool is_named = !facts.request_id.empty();
+  if (facts.is_not_run) runner.refusal_naming.OnRefusal(is_named, now);
+  if (facts.is_not_run &&
+      !RefusalNaming::IsProof(is_named, answer.is_first())) {
+    return OnUnprovenRefusal(facts, target);
+  }
   runner.last_received_at = now;
   if (facts.running) runner.RecordLoad(*facts.running, *facts.waiting, now);
   // A refusal without a limit does not show that the limit has ended.
@@ -283,6 +296,25 @@
   return {Classification::Kind::kRelay, {}};
 }
 
+Classification RunnerProtocol::OnUnprovenRefusal(
+    const platform::TargetAnswer& answer, const Target& target) {
+  metrics_.unproven_refusals.Add();
+  has_unproven_refusal_ = true;
+  telemetry::Log(telemetry::Level::kWarning, telemetry::event::kUnprovenRefusal,
+                 {{"request", routed_.request.id},
+                  {"target", target.id},
+                  {"status", answer.status},
+                  {"skipped", !IsIdempotent()}});
+  // The request may be running, and must not run elsewhere then.
+  if (!IsIdempotent()) return {Classification::Kind::kMismatched, {}};
+  return {Classification::Kind::kFailed,
+          {ErrorId::kTargetAnswerInvalid,
+           fmt::format("{} refused a request that it did not name, with "
+                       "status {}",
+                       target.id, answer.status),
+           Verdict::kMayHaveRun}};
+}
+
 void RunnerProtocol::RecordOlderRun(
     const platform::TargetAnswer& answer) const {
   if (!choice_.weights_version) return;
--- a/src/fleet/runner_protocol.h
+++ b/src/fleet/runner_protocol.h
@@ -33,6 +33,7 @@
   Counter& repeats;
   Counter& budget_spent;
   Counter& foreign_answers;
+  Counter& unproven_refusals;
   Counter& older_weights_runs;
   LatencyHistogram& older_weights_lag;
   LatencyHistogram& first_byte;
@@ -99,6 +100,9 @@
   bool IsIdempotent() const {
     return routed_.route->repeatability == Repeatability::kIdempotent;
   }
+  // Classifies a refusal that may belong to an earlier request.
+  exchange::Classification OnUnprovenRefusal(
+      const platform::TargetAnswer& answer, const exchange::Target& target);
   // Whether the connection ended before the target had answered.
   bool IsBrokenOff(const Error& error) const;
   // Removes this request from the load counted for its runner.
@@ -138,6 +142,9 @@
   int delivered_ = 0;
   // Number of targets at which the request may have run.
   int possible_runs_ = 0;
+  // Whether a target refused the request without a proof; what refuses it next
+  // must prove it.
+  bool has_unproven_refusal_ = false;
   // Whether the target answered the current attempt with a failure.
   bool has_failure_answer_ = false;
   // Keeps events whole; on routes whose streams may be resumed also between
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -65,6 +65,7 @@
 AnswerStream::AnswerStream(std::unique_ptr<Connection> connection,
                            HttpClient& client, CallOptions options)
     : connection_(std::move(connection)), client_(client), options_(options) {
+  is_first_ = connection_->is_new;
   ResetParser();
 }
 
@@ -117,6 +118,7 @@
 
 asio::awaitable<Result<Done>> AnswerStream::SkipAnswer() {
   is_reusable_ = false;
+  is_first_ = false;
   while (!parser_->is_done()) {
     auto part = co_await Read();
     if (!part.ok()) {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -48,6 +48,9 @@
   const http::response_header<>& head() const { return parser_->get().base(); }
   /// Status code of the answer. @pre none.
   int status() const { return static_cast<int>(parser_->get().result_int()); }
+  /// Whether no answer came on the connection before this one, so that it can
+  /// answer no other request. @pre none.
+  bool is_first() const { return is_first_; }
   /// Reads the next bytes of the body; an empty string is its end. @pre not
   /// at the end.
   asio::awaitable<Result<std::string>> Read();
@@ -81,6 +84,7 @@
   CallOptions options_;
   std::unique_ptr<http::response_parser<http::string_body>> parser_;
   bool is_reusable_ = true;
+  bool is_first_ = true;
 };
 
 /// Calls HTTP servers. Used by the coroutines of one event loop.
--- a/src/telemetry/log.h
+++ b/src/telemetry/log.h
@@ -46,6 +46,7 @@
 inline constexpr std::string_view kPeersUnavailable = "peers-unavailable";
 inline constexpr std::string_view kReloaded = "reloaded";
 inline constexpr std::string_view kTargetLimit = "target-limit";
+inline constexpr std::string_view kUnprovenRefusal = "unproven-refusal";
 inline constexpr std::string_view kTargetCrashed = "target-crashed";
 inline constexpr std::string_view kPartQuarantined = "part-quarantined";
 inline constexpr std::string_view kPartReleased = "part-released";
--- a/tests/src/process-repeated_refusal.cpp
+++ b/tests/src/process-repeated_refusal.cpp
@@ -101,5 +101,19 @@
   }
 }
 
+TEST_F(RepeatedRefusal, OfATargetThatNamesNoneIsBelievedOnANewConnection) {
+  KeepOneTargetOfEach();
+  ControlAll({{"name_refusals", false}});
+  ExpectStatus(fleet_.Send(0, "/book/x", "answered"), 200U);
+  ControlAll({{"refuse", true}});
+  ExpectStatus(fleet_.Send(0, "/book/x", "kept", {{"Deadline-Ms", "600"}}),
+               504U);
+  ExpectStatus(fleet_.Send(0, "/book/x", "new"), 503U);
+  ControlAll({{"name_refusals", true}});
+  ExpectStatus(fleet_.Send(0, "/book/x", "named"), 503U);
+  EXPECT_EQ(fleet_.RunsOf("kept") + fleet_.RunsOf("new"), 0);
+  EXPECT_EQ(fleet_.Metric(0, "beryllane_fleet_unproven_refusals_total"), 1);
+}
+
 }  // namespace
 }  // namespace beryllane::testing
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -542,5 +542,26 @@
   EXPECT_EQ(moved.fetch_from, home);
 }
 
+TEST(RefusalNaming, ARefusalWithoutANameIsAProofOnlyAsAFirstAnswer) {
+  EXPECT_TRUE(RefusalNaming::IsProof(true, true));
+  EXPECT_TRUE(RefusalNaming::IsProof(true, false));
+  EXPECT_TRUE(RefusalNaming::IsProof(false, true));
+  EXPECT_FALSE(RefusalNaming::IsProof(false, false));
+}
+
+TEST(RefusalNaming, ATargetWithoutNamesNeedsNewConnectionsForSomeTime) {
+  const PausedClock paused;
+  const auto start = RuntimeClock::now();
+  RefusalNaming naming;
+  EXPECT_FALSE(naming.NeedsNewConnection(start));
+  naming.OnRefusal(false, start);
+  EXPECT_TRUE(naming.NeedsNewConnection(start));
+  EXPECT_FALSE(naming.NeedsNewConnection(start + RefusalNaming::kLifetime));
+  naming.OnRefusal(false, start + seconds(20));
+  EXPECT_TRUE(naming.NeedsNewConnection(start + RefusalNaming::kLifetime));
+  naming.OnRefusal(true, start + seconds(21));
+  EXPECT_FALSE(naming.NeedsNewConnection(start + seconds(21)));
+}
+
 }  // namespace
 }  // namespace beryllane::fleet
