Skip answers without name and seal on connections used before

What callers saw: 429 for requests that may run only once and that a target ran. Calls of the router itself, such as those for cache changes, are refused with statuses that bear neither a request's name, for they have none, nor the proof of a refusal; written once more on a connection that a caller's request uses next, they were relayed to that caller.

The proof was looked for only on refusals that state it.

Change: on a connection that was used before, any answer that lacks both the name and the target's seal is treated as an unproven refusal. A run's own answer has both.

Open: an answer with the seal and without a name is still relayed.

--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -227,9 +227,10 @@
   }
   Runner& runner = *choice_.runner;
   const bool is_named = !facts.request_id.empty();
-  if (facts.is_not_run) runner.refusal_naming.OnRefusal(is_named, now);
-  if (facts.is_not_run &&
-      !RefusalNaming::IsProof(is_named, answer.is_first())) {
+  // A run's own answer has the seal.
+  const bool is_refusal = facts.is_not_run || !facts.is_sealed;
+  if (is_refusal) runner.refusal_naming.OnRefusal(is_named, now);
+  if (is_refusal && !RefusalNaming::IsProof(is_named, answer.is_first())) {
     return OnUnprovenRefusal(facts, target);
   }
   runner.last_received_at = now;
@@ -309,8 +310,7 @@
   if (!IsIdempotent()) return {Classification::Kind::kMismatched, {}};
   return {Classification::Kind::kFailed,
           {ErrorId::kTargetAnswerInvalid,
-           fmt::format("{} refused a request that it did not name, with "
-                       "status {}",
+           fmt::format("{} answered with status {} and named no request",
                        target.id, answer.status),
            Verdict::kMayHaveRun}};
 }
--- a/src/fleet/runner_protocol.h
+++ b/src/fleet/runner_protocol.h
@@ -100,7 +100,8 @@
   bool IsIdempotent() const {
     return routed_.route->repeatability == Repeatability::kIdempotent;
   }
-  // Classifies a refusal that may belong to an earlier request.
+  // Classifies a refusal, or an answer without the seal, that may belong to an
+  // earlier request.
   exchange::Classification OnUnprovenRefusal(
       const platform::TargetAnswer& answer, const exchange::Target& target);
   // Whether the connection ended before the target had answered.
--- a/standins/runner_main.cc
+++ b/standins/runner_main.cc
@@ -45,6 +45,9 @@
 struct RunnerFaults {
   // Requests are refused with the proof that they did not run.
   bool refuse = false;
+  // Status of a refusal where `refuse` is set, and whether it bears the proof.
+  int refusal_status = 503;
+  bool prove_refusals = true;
   // Refusals name the request that they refuse, as the protocol asks.
   bool name_refusals = true;
   // The newest refusal is written once more this long after each whole answer,
@@ -122,6 +125,10 @@
     const json change = json::parse(exchange.request().body(), nullptr, false);
     if (change.is_object()) {
       faults_.refuse = change.value("refuse", faults_.refuse);
+      faults_.refusal_status =
+          change.value("refusal_status", faults_.refusal_status);
+      faults_.prove_refusals =
+          change.value("prove_refusals", faults_.prove_refusals);
       faults_.name_refusals =
           change.value("name_refusals", faults_.name_refusals);
       faults_.repeat_refusal_after = milliseconds(
@@ -239,7 +246,8 @@
     const bool is_other_version =
         !version.empty() && version != std::to_string(version_);
     if (faults_.refuse || is_loading_ || is_other_version) {
-      co_await Refuse(exchange, is_other_version ? 421 : 503);
+      co_await Refuse(exchange,
+                      is_other_version ? 421 : faults_.refusal_status);
       co_return;
     }
     ++runs_[id];
@@ -275,7 +283,7 @@
     if (faults_.name_refusals && !id.empty()) {
       refusal.set(std::string(kRequestId), std::string(id));
     }
-    refusal.set("Not-Executed", "1");
+    if (faults_.prove_refusals) refusal.set("Not-Executed", "1");
     refusal.set("Instance-Id", id_);
     last_refusal_ = refusal;
     co_await exchange.Respond(std::move(refusal));
--- a/tests/src/process-repeated_refusal.cpp
+++ b/tests/src/process-repeated_refusal.cpp
@@ -33,10 +33,10 @@
   }
   // Makes all targets refuse one request, and repeat that refusal this long
   // after each later answer.
-  void RepeatARefusal(bool has_id, int after_ms) {
+  void RepeatARefusal(bool has_id, int after_ms, unsigned status = 503U) {
     ControlAll({{"refuse", true}, {"name_refusals", has_id}});
-    ExpectStatus(fleet_.Send(0, "/book/x", "refused"), 503U);
-    ExpectStatus(fleet_.Ask(0, "/chat/x", "refused"), 503U);
+    ExpectStatus(fleet_.Send(0, "/book/x", "refused"), status);
+    ExpectStatus(fleet_.Ask(0, "/chat/x", "refused"), status);
     ControlAll({{"refuse", false}, {"repeat_refusal_after_ms", after_ms}});
   }
   static void ExpectStatus(const Result<net::Response>& answer,
@@ -80,6 +80,13 @@
   ExpectEachRunsOnce("/chat/x");
 }
 
+TEST_F(RepeatedRefusal, WithNeitherNameNorProofIsNotRelayed) {
+  KeepOneTargetOfEach();
+  ControlAll({{"refusal_status", 429}, {"prove_refusals", false}});
+  RepeatARefusal(false, 100, 429U);
+  ExpectEachRunsOnce("/book/x");
+}
+
 TEST_F(RepeatedRefusal, ThatNamesItsRequestIsSkipped) {
   KeepOneTargetOfEach();
   RepeatARefusal(true, 100);
