Send orders on new connections

What operators saw: weights reported as in place at a target that had taken no order; requests that expected them were refused by it (421), and the order was not sent again until the list of targets showed the older version.

Answers to reports and orders name no request, and a report that a target writes once more, read as the answer to an order, says with its status that the weights are loaded already.

Change: an order is sent on a new connection, where nothing else can be answered. There is about one order for each target and version. Reports and calls for cache changes keep using connections: a report that is read twice only repeats older counts, which the target checks with the next order.

Evidence: PlatformRollout.AnEarlierReportIsNotTakenForTheAnswerToAnOrder failed before and passes, with the other tests of PlatformRollout.

--- a/src/fleet/weights_rollout.cc
+++ b/src/fleet/weights_rollout.cc
@@ -251,7 +251,9 @@
   net::CallOptions options;
   options.connect_timeout = kOrderTimeout;
   options.answer_timeout = kOrderTimeout;
-  options.unstated_idle_limit = std::chrono::nanoseconds(0);
+  // Answers to orders name no request; on a new connection only the order can
+  // be answered.
+  options.needs_new_connection = true;
   runner.switching_until = RuntimeClock::now() + kSwitchDuration;
   orders_.Add();
   peers_.AnnounceOrder(runner, model, version);
