--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -20,6 +20,7 @@
 #include "src/fleet/desired_weights.h"
 #include "src/fleet/model.h"
 #include "src/fleet/part_cache.h"
+#include "src/fleet/refusal_naming.h"
 #include "src/fleet/start_wait.h"
 
 namespace beryllane::fleet {
@@ -58,6 +59,7 @@
   /// The target refused a request because it was full. Until this time it has
   /// an additional cost.
   RuntimeClock::time_point full_until;
+  RefusalNaming refusal_naming;
   /// Limit on the requests of all routers that the target named.
   SharedLimit limit;
   PartCache cache;
--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -80,6 +80,9 @@
       foreign_answers(
           registry.GetCounter("beryllane_fleet_foreign_answers_total",
                               "Answers that belonged to another request")),
+      unproven_refusals(registry.GetCounter(
+          "beryllane_fleet_unproven_refusals_total",
+          "Refusals that may have belonged to another request")),
       older_weights_runs(registry.GetCounter(
           "beryllane_fleet_older_weights_runs_total",
           "Runs that began on weights older than the desired ones")),
@@ -213,6 +216,10 @@
   options.may_send = [this] { return MaySend(); };
   options.more_time = [this] { return ExtendWait(); };
   options.unstated_idle_limit = kUnstatedIdleLimit;
+  const bool is_naming_unsure =
+      choice_.runner->refusal_naming.NeedsNewConnection(RuntimeClock::now());
+  options.needs_new_connection =
+      has_unproven_refusal_ || (is_naming_unsure && !IsIdempotent());
   return options;
 }
 
@@ -269,6 +276,13 @@
     return {Classification::Kind::kMismatched, {}};
   }
   Runner& runner = *choice_.runner;
+  const bool is_named = !facts.request_id.empty();
+  // A run's own answer has the seal.
+  const bool is_refusal = facts.is_not_run || !facts.is_sealed;
+  if (is_refusal) runner.refusal_naming.OnRefusal(is_named, now);
+  if (is_refusal && !RefusalNaming::IsProof(is_named, answer.is_first())) {
+    return OnUnprovenRefusal(facts, target);
+  }
   runner.last_received_at = now;
   if (facts.running) runner.RecordLoad(*facts.running, *facts.waiting, now);
   // A refusal without a limit does not show that the limit has ended.
@@ -347,6 +361,24 @@
   }
 }
 
+Classification RunnerProtocol::OnUnprovenRefusal(
+    const platform::TargetAnswer& answer, const Target& target) {
+  metrics_.unproven_refusals.Add();
+  has_unproven_refusal_ = true;
+  telemetry::Log(telemetry::Level::kWarning, telemetry::event::kUnprovenRefusal,
+                 {{"request", routed_.request.id},
+                  {"target", target.id},
+                  {"status", answer.status},
+                  {"skipped", !IsIdempotent()}});
+  // The request may be running, and must not run elsewhere then.
+  if (!IsIdempotent()) return {Classification::Kind::kMismatched, {}};
+  return {Classification::Kind::kFailed,
+          {ErrorId::kTargetAnswerInvalid,
+           fmt::format("{} answered with status {} and named no request",
+                       target.id, answer.status),
+           Verdict::kMayHaveRun}};
+}
+
 void RunnerProtocol::RecordOlderRun(
     const platform::TargetAnswer& answer) const {
   if (!choice_.weights_version) return;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -67,6 +67,7 @@
     : connection_(std::move(connection)),
       client_(client),
       options_(std::move(options)) {
+  is_first_ = connection_->is_new;
   ResetParser();
 }
 
@@ -122,6 +123,7 @@
 
 asio::awaitable<Result<Done>> AnswerStream::SkipAnswer() {
   is_reusable_ = false;
+  is_first_ = false;
   while (!parser_->is_done()) {
     auto part = co_await Read();
     if (!part.ok()) {
