--- a/standins/runner_main.cc
+++ b/standins/runner_main.cc
@@ -60,6 +60,9 @@
   milliseconds step{0};
   // Streams break off within the event of this number; negative is never.
   int cut_at = -1;
+  // Answer to requests that resume a stream: `status`, and optionally `type`
+  // and `body`; null is the rest of the stream.
+  json resume_answer;
   // Requests a second that answers name as a limit; negative is none.
   double limit = -1;
   // Id of the prompt part on which the process ends once it has sent the head
@@ -124,6 +127,8 @@
       faults_.ignore_orders =
           change.value("ignore_orders", faults_.ignore_orders);
       faults_.cut_at = change.value("cut_at", faults_.cut_at);
+      faults_.resume_answer =
+          change.value("resume_answer", faults_.resume_answer);
       faults_.limit = change.value("limit", faults_.limit);
       faults_.deadly_part = change.value("deadly_part", faults_.deadly_part);
       faults_.step = milliseconds(
@@ -239,6 +244,10 @@
       net::Response failure = Answer(id, "failed");
       failure.result(500);
       co_await exchange.Respond(std::move(failure));
+    } else if (faults_.resume_answer.is_object() &&
+               !net::Header(request, "Last-Event-Id").empty()) {
+      net::Response answer = ResumeAnswer(id);
+      co_await exchange.Respond(std::move(answer));
     } else if (net::Header(request, "Token-Usage").empty()) {
       net::Response answer =
           Answer(id, "ran at " + id_ + ": " + request.body());
@@ -295,6 +304,15 @@
     return answer;
   }
 
+  net::Response ResumeAnswer(const std::string& request_id) const {
+    const json& fault = faults_.resume_answer;
+    net::Response answer = Answer(request_id, fault.value("body", ""));
+    answer.result(fault.value("status", 200U));
+    answer.set(net::http::field::content_type,
+               fault.value("type", "text/plain"));
+    return answer;
+  }
+
   template <typename Message>
   void SetHeaders(Message& answer, const std::string& request_id) const {
     answer.set(std::string(kRequestId), request_id);
