Let only a stream go on where a stream has begun

Callers saw the whole head and body of a resumed run's 302, 304, 400, 404 or 413 between two chunks of their stream, on a connection that then went on; the text of a 200 that was no event stream came as an event, and it, an empty 200 and a 204 ended the stream as complete.

Cause: whether an answer may be relayed was decided from the answer alone. Only a stored 5xx was held back once the caller's answer had begun.

Change: the forwarder asks `ContinuesStream` before it relays anything into a begun answer; what is no event stream fails the attempt, and the stream ends without its final chunk. All request types answer it. `Exchange` sends one head for a request: a second one violates `one-head-per-request`, is not written, and the connection closes. Stand-ins may still answer twice, as a fault.

--- a/src/caller/completion_protocol.h
+++ b/src/caller/completion_protocol.h
@@ -60,6 +60,9 @@
   bool IsStream(const net::AnswerStream& /*response*/) const {
     return is_stream_;
   }
+  bool ContinuesStream(const net::AnswerStream& /*response*/) const {
+    return is_stream_;
+  }
   Result<std::string> Feed(const std::string& bytes);
   bool IsComplete() const { return relay_.is_complete(); }
   Result<Done> OnStreamEnd() const;
--- a/src/caller/service_protocol.h
+++ b/src/caller/service_protocol.h
@@ -38,6 +38,9 @@
   exchange::Classification Classify(const net::AnswerStream& response,
                                     const exchange::Target& target);
   bool IsStream(const net::AnswerStream& /*response*/) const { return false; }
+  bool ContinuesStream(const net::AnswerStream& /*response*/) const {
+    return false;
+  }
   Result<std::string> Feed(std::string bytes) const { return bytes; }
   bool IsComplete() const { return false; }
   Result<Done> OnStreamEnd() const { return Done{}; }
--- a/src/exchange/engine.cc
+++ b/src/exchange/engine.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "fmt/format.h"
 #include "src/caller/completion_protocol.h"
 #include "src/caller/service_protocol.h"
 #include "src/fleet/runner_protocol.h"
@@ -92,6 +93,19 @@
   }
   const bool is_stream =
       CallProtocol(protocol_, [&](auto& d) { return d.IsStream(response); });
+  // Nothing but the rest of a stream may follow its begin.
+  const bool can_follow =
+      !exchange_.is_started() || CallProtocol(protocol_, [&](auto& d) {
+        return d.ContinuesStream(response);
+      });
+  if (!can_follow) {
+    Error error{
+        ErrorId::kTargetAnswerInvalid,
+        fmt::format("{} resumed a stream with status {} or another type",
+                    target.id, response.status()),
+        Verdict::kRan};
+    co_return AttemptResult{std::nullopt, std::move(error)};
+  }
   if (is_stream) {
     co_return co_await RelayStream(response, target);
   }
--- a/src/exchange/engine.h
+++ b/src/exchange/engine.h
@@ -76,6 +76,9 @@
 /// - `Classification Classify(const net::AnswerStream&, const Target&)`.
 /// - `bool IsStream(const net::AnswerStream&)`: whether the response is relayed
 ///   in parts as they arrive, rather than buffered.
+/// - `bool ContinuesStream(const net::AnswerStream&)`: whether the response may
+///   go on with a stream that has begun; asked once it was classified as one to
+///   relay.
 /// - `Result<std::string> Feed(std::string)`: converts bytes received from the
 ///   target to bytes for the caller.
 /// - `bool IsComplete()`: whether the end marker of the stream was received.
--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -252,9 +252,7 @@
   if (is_success) {
     prompt_.OnHead(now);
     RecordOlderRun(facts);
-    const bool has_events = net::Header(answer.head(), "Content-Type")
-                                .starts_with("text/event-stream");
-    if (IsStream(answer) && has_events && !relay_) relay_.emplace(std::nullopt);
+    if (ContinuesStream(answer) && !relay_) relay_.emplace(std::nullopt);
     runner.ClearSuspicion();
     metrics_.first_byte.Record(now - routed_.started);
     // The prefill is complete; decoding does not delay the prefill of others.
@@ -367,6 +365,11 @@
   return routed_.route->is_stream && answer.status() < kMultipleChoices;
 }
 
+bool RunnerProtocol::ContinuesStream(const net::AnswerStream& answer) const {
+  return IsStream(answer) && net::Header(answer.head(), "Content-Type")
+                                 .starts_with("text/event-stream");
+}
+
 Result<std::string> RunnerProtocol::Feed(std::string bytes) {
   choice_.runner->last_received_at = RuntimeClock::now();
   quarantine_.OnProgress(prompt_);
--- a/src/fleet/runner_protocol.h
+++ b/src/fleet/runner_protocol.h
@@ -77,6 +77,7 @@
   exchange::Classification Classify(const net::AnswerStream& answer,
                                     const exchange::Target& target);
   bool IsStream(const net::AnswerStream& answer) const;
+  bool ContinuesStream(const net::AnswerStream& answer) const;
   Result<std::string> Feed(std::string bytes);
   bool IsComplete() const { return false; }
   Result<Done> OnStreamEnd() const;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -15,6 +15,7 @@
 #include <tuple>
 #include <utility>
 
+#include "beryllane/invariant/invariant.h"
 #include "fmt/format.h"
 #include "src/net/serialize.h"
 #include "src/net/socket_options.h"
@@ -109,8 +110,16 @@
   co_return !write_code;
 }
 
-asio::awaitable<bool> Exchange::Respond(Response response) {
+bool Exchange::TakeHead() {
+  const bool is_allowed = !is_started_ || limits_.allows_second_answer;
+  BERYLLANE_INVARIANT("one-head-per-request", is_allowed);
+  if (!is_allowed) close_after_ = true;
   is_started_ = true;
+  return is_allowed;
+}
+
+asio::awaitable<bool> Exchange::Respond(Response response) {
+  if (!TakeHead()) co_return false;
   response.keep_alive(request_.keep_alive() && !close_after_);
   response.prepare_payload();
   if (request_.method() == http::verb::head) response.body().clear();
@@ -122,7 +131,7 @@
 
 asio::awaitable<bool> Exchange::StartStream(
     http::response<http::empty_body> head) {
-  is_started_ = true;
+  if (!TakeHead()) co_return false;
   head.keep_alive(request_.keep_alive() && !close_after_);
   head.chunked(true);
   http::response_serializer<http::empty_body> serializer(head);
@@ -133,7 +142,7 @@
 
 asio::awaitable<bool> Exchange::StartStream(
     http::response<http::empty_body> head, std::string_view first) {
-  is_started_ = true;
+  if (!TakeHead()) co_return false;
   head.keep_alive(request_.keep_alive() && !close_after_);
   head.chunked(true);
   std::string wire = fmt::format("HTTP/1.1 {} {}\r\n", head.result_int(),
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -30,6 +30,8 @@
   std::chrono::milliseconds idle_timeout{60000};
   std::chrono::milliseconds write_timeout{15000};
   std::size_t max_connections = 8192;
+  /// Whether one request may be answered twice, as faulty servers do.
+  bool allows_second_answer = false;
 };
 
 /// One request and the means to answer it. Used by one coroutine.
@@ -52,7 +54,8 @@
   /// The caller's address. @pre none.
   std::string PeerIp() const;
 
-  /// Sends a whole response; false if the caller is gone. @pre nothing was
+  /// Sends a whole response; false if the caller is gone. A second head is
+  /// never sent: where one was, the connection closes instead. @pre nothing was
   /// sent before.
   asio::awaitable<bool> Respond(Response response);
   /// Sends the head of a chunked response; false if the caller is gone. @pre
@@ -79,6 +82,8 @@
   }
 
  private:
+  // Whether a head may be sent; checks that none was before.
+  bool TakeHead();
   template <typename Buffers>
   asio::awaitable<bool> WriteAll(const Buffers& buffers);
 
--- a/standins/support.cc
+++ b/standins/support.cc
@@ -66,6 +66,7 @@
                const std::function<void()>& started) {
   net::ServerLimits limits;
   limits.body_bytes = 64 * 1024 * 1024;
+  limits.allows_second_answer = true;
   net::HttpServer server(pool, limits, spec.handler, FormatRejection);
   net::HttpServer control(pool, limits, spec.control, FormatRejection);
   if (!Listen(server, spec.listen)) return 2;
