Take only a run that resumes right after the last event

Callers got one stream made of two runs: a resumed run that started again at event 1 was joined after the events sent, because known ids were dropped. An event without id passed. A resumed run without any event ended the stream as complete after event 6 of 20.

Cause: `EventRelay` compared ids and did not know that a run had changed; `OnStreamEnd` looked only for an incomplete event.

Change: after a restart, and where the caller resumes, the first event must be the one after the last; events without id cannot be resumed. An event stream that resumes a begun one and holds no event fails the attempt.

FleetEvents.WholeEventsOnceAndInOrder held that a run may start again and its known events are dropped, which is the fault. It now holds that events known within a run are dropped; ARunResumesRightAfterTheLastEventOrNotAtAll holds the restart.

--- a/src/fleet/event_relay.cc
+++ b/src/fleet/event_relay.cc
@@ -53,14 +53,22 @@
     const std::string_view event = rest.substr(0, length);
     rest.remove_prefix(event.size());
     const auto id = IdOf(event);
+    const bool follows = id && last_id_ && *id == *last_id_ + 1;
+    if (is_resuming_ && !follows) {
+      return Error{ErrorId::kTargetAnswerInvalid,
+                   "the stream was not resumed right after its last event",
+                   Verdict::kRan};
+    }
+    is_resuming_ = false;
     const bool is_known = id && last_id_ && *id <= *last_id_;
     if (is_known) continue;
-    if (id && last_id_ && *id != *last_id_ + 1) {
+    if (id && last_id_ && !follows) {
       return Error{ErrorId::kTargetAnswerInvalid,
                    fmt::format("event {} came after {}", *id, *last_id_),
                    Verdict::kRan};
     }
     if (id) last_id_ = id;
+    has_relayed_ = true;
     out += event;
   }
   if (rest.size() > kMaxEventBytes) {
--- a/src/fleet/event_relay.h
+++ b/src/fleet/event_relay.h
@@ -22,15 +22,21 @@
   /// `last_id` is the id of the last event that the caller has received. @pre
   /// none.
   explicit EventRelay(std::optional<std::uint64_t> last_id)
-      : last_id_(last_id) {}
+      : last_id_(last_id), is_resuming_(last_id.has_value()) {}
 
   /// Adds bytes received from a target and returns the complete events that the
-  /// caller does not have yet. An event whose id skips others is an error. @pre
-  /// none.
+  /// caller does not have yet. An event whose id skips others is an error, as
+  /// is a run that resumes anywhere but right after the last event. @pre none.
   Result<std::string> Feed(std::string_view bytes);
   /// Discards an incomplete event, because another target resumes the stream.
   /// @pre none.
-  void DiscardPartial() { partial_.clear(); }
+  void Restart() {
+    partial_.clear();
+    is_resuming_ = last_id_.has_value() || has_relayed_;
+  }
+  /// Whether the caller got events, and none of the run that resumes them yet.
+  /// @pre none.
+  bool is_resumption_empty() const { return is_resuming_ && has_relayed_; }
   /// Whether the bytes so far end with a complete event. @pre none.
   bool is_at_event_end() const { return partial_.empty(); }
   /// Id of the last event that the caller has received. @pre none.
@@ -38,6 +44,9 @@
 
  private:
   std::optional<std::uint64_t> last_id_;
+  // Whether the next event must be the one after the last.
+  bool is_resuming_;
+  bool has_relayed_ = false;
   std::string partial_;
 };
 
--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -378,7 +378,13 @@
 }
 
 Result<Done> RunnerProtocol::OnStreamEnd() const {
-  if (!relay_ || relay_->is_at_event_end()) return Done{};
+  if (!relay_) return Done{};
+  if (relay_->is_at_event_end() && relay_->is_resumption_empty()) {
+    return Error{ErrorId::kTargetAnswerInvalid,
+                 choice_.runner->entry.id + " resumed the stream with no event",
+                 Verdict::kRan};
+  }
+  if (relay_->is_at_event_end()) return Done{};
   return Error{ErrorId::kStreamBroken,
                choice_.runner->entry.id + " ended the stream within an event",
                Verdict::kRan};
@@ -403,7 +409,7 @@
 
 void RunnerProtocol::OnAttemptEnd(const Target& target, const Error* error) {
   ReleaseLoad();
-  if (relay_) relay_->DiscardPartial();
+  if (relay_) relay_->Restart();
   if (error == nullptr) {
     if (!has_failure_answer_) quarantine_.OnComplete(prompt_);
     return;
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -313,13 +313,41 @@
   EXPECT_EQ(relay.Feed("id: 1\ndata: a\n\nid: 2\nda").value(),
             "id: 1\ndata: a\n\n");
   EXPECT_FALSE(relay.is_at_event_end());
-  relay.DiscardPartial();
-  EXPECT_EQ(relay.Feed("id: 1\ndata: a\n\nid: 2\ndata: b\n\n").value(),
+  relay.Restart();
+  EXPECT_EQ(relay.Feed("id: 2\ndata: b\n\nid: 1\ndata: a\n\n").value(),
             "id: 2\ndata: b\n\n");
   EXPECT_EQ(relay.last_id(), 2U);
   EXPECT_FALSE(relay.Feed("id: 4\ndata: d\n\n").ok());
 }
 
+TEST(FleetEvents, ARunResumesRightAfterTheLastEventOrNotAtAll) {
+  for (const char* begin :
+       {"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "id: 3\ndata: c\n\n",
+        "data: b\n\n", ": a comment\n\n"}) {
+    EventRelay relay(std::nullopt);
+    EXPECT_TRUE(relay.Feed("id: 1\ndata: a\n\nid: 2\nda").ok());
+    relay.Restart();
+    EXPECT_FALSE(relay.Feed(begin).ok()) << begin;
+    EXPECT_EQ(relay.last_id(), 1U);
+    EXPECT_FALSE(EventRelay(1).Feed(begin).ok()) << begin;
+  }
+  EventRelay relay(std::nullopt);
+  EXPECT_TRUE(relay.Feed("data: an event without id\n\n").ok());
+  relay.Restart();
+  EXPECT_FALSE(relay.Feed("id: 1\ndata: a\n\n").ok());
+}
+
+TEST(FleetEvents, AnEmptyResumptionIsSeenOnlyAfterEventsWereRelayed) {
+  EventRelay relay(4);
+  EXPECT_FALSE(relay.is_resumption_empty());
+  EXPECT_TRUE(relay.Feed("id: 5\ndata: e\n\n").ok());
+  EXPECT_FALSE(relay.is_resumption_empty());
+  relay.Restart();
+  EXPECT_TRUE(relay.is_resumption_empty());
+  EXPECT_TRUE(relay.Feed("id: 6\ndata: f\n\n").ok());
+  EXPECT_FALSE(relay.is_resumption_empty());
+}
+
 TEST(FleetEvents, AnEventMayEndItsLinesWithCarriageReturns) {
   EventRelay relay(std::nullopt);
   EXPECT_EQ(relay.Feed("id: 1\r\ndata: a\r\n\r\nid: 2\r\n").value(),
@@ -355,7 +383,7 @@
       out += fed.value();
       at += size;
     }
-    relay.DiscardPartial();
+    relay.Restart();
   }
   RC_ASSERT(out == whole);
 }
