--- a/tests/src/process-target_bytes.cpp
+++ b/tests/src/process-target_bytes.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
+#include <mutex>
 #include <thread>
 
 #include "src/net/runtime.h"
@@ -20,7 +21,7 @@
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
 // Answers each request with fixed bytes, then repeats others until the router
-// closes the connection, or closes it if there are none.
+// closes the connection, or closes or resets it if there are none.
 class ScriptedTarget {
  public:
   ScriptedTarget(std::string answer, std::string repeated,
@@ -44,6 +45,11 @@
   }
   // Most bytes that the router took on one connection.
   std::size_t most_bytes() const { return most_bytes_; }
+  void set_answer(std::string answer, bool is_reset) {
+    const std::lock_guard lock(mutex_);
+    answer_ = std::move(answer);
+    is_reset_ = is_reset;
+  }
   int requests() const { return requests_; }
 
  private:
@@ -57,17 +63,28 @@
                             "\r\n\r\n", code);
       if (code) continue;
       ++requests_;
+      const std::string answer = PrepareAnswer(socket);
       std::size_t sent =
-          net::asio::write(socket, net::asio::buffer(answer_), code);
+          net::asio::write(socket, net::asio::buffer(answer), code);
       while (!repeated_.empty() && !code && !is_stopping_) {
         sent += net::asio::write(socket, net::asio::buffer(repeated_), code);
         most_bytes_ = std::max(most_bytes_.load(), sent);
         std::this_thread::sleep_for(pause_);
       }
+      // The destructor would not reset.
+      socket.close(code);
     }
   }
 
+  std::string PrepareAnswer(net::tcp::socket& socket) {
+    const std::lock_guard lock(mutex_);
+    if (is_reset_) socket.set_option(net::asio::socket_base::linger(true, 0));
+    return answer_;
+  }
+
+  std::mutex mutex_;
   std::string answer_;
+  bool is_reset_ = false;
   std::string repeated_;
   milliseconds pause_;
   net::asio::io_context loop_;
@@ -158,6 +175,84 @@
   }
 }
 
+// Cuts that leave no whole answer, in its head and in its body.
+const std::vector<std::string> kCutHeads{
+    "HTTP/1.1 2",
+    "HTTP/1.1 200 OK\r\n",
+    "HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nContent-Le",
+    "HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nContent-Length: 0\r\n",
+    "HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nContent-Length: 5\r\n\r",
+    "HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nTransfer-Encoding: chunked\r\n"};
+
+TEST_F(TargetBytes, ACutHeadIsNeverASuccess) {
+  ScriptedTarget target("", "");
+  Register(target, "desk");
+  for (const std::string& head : kCutHeads) {
+    for (const bool is_reset : {false, true}) {
+      target.set_answer(head, is_reset);
+      const auto answer = fleet_.Send(0, "/book/x", "r");
+      ASSERT_TRUE(answer.ok()) << head;
+      EXPECT_EQ(answer.value().result_int(), 502U) << head;
+    }
+  }
+}
+
+TEST_F(TargetBytes, ACutHeadOfAStreamIsNeverASuccess) {
+  ScriptedTarget target("", "");
+  Register(target, "scribe");
+  for (const std::string& head : kCutHeads) {
+    for (const bool is_reset : {false, true}) {
+      target.set_answer(head, is_reset);
+      for (const char* path : {"/chat/x", "/advice/x"}) {
+        const std::string answer = Chat(path);
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 50")) << head << answer;
+      }
+    }
+  }
+}
+
+TEST_F(TargetBytes, ACutBodyIsNeverASuccess) {
+  const std::string head = "HTTP/1.1 200 OK\r\nResponse-Seal: s\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  ScriptedTarget target("", "");
+  Register(target, "desk");
+  for (const std::string& bytes :
+       {head + "Content-Length: 5\r\n\r\nhel", chunked, chunked + "5",
+        chunked + "5\r\nhel", chunked + "5\r\nhello\r\n",
+        chunked + "5\r\nhello\r\n0\r\n"}) {
+    for (const bool is_reset : {false, true}) {
+      target.set_answer(bytes, is_reset);
+      const auto answer = fleet_.Send(0, "/book/x", "r");
+      ASSERT_TRUE(answer.ok()) << bytes;
+      EXPECT_EQ(answer.value().result_int(), 502U) << bytes;
+    }
+  }
+}
+
+TEST_F(TargetBytes, ACutBodyOfAStreamNeverLooksComplete) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nResponse-Seal: s\r\n"
+      "Content-Type: text/event-stream\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string event = "f\r\nid: 1\ndata: a\n\n\r\n";
+  ScriptedTarget target("", "");
+  Register(target, "scribe");
+  for (const std::string& bytes :
+       {head + "Content-Length: 30\r\n\r\nid: 1\ndata: a\n\n", chunked,
+        chunked + event, chunked + event + "f", chunked + event + "0\r\n"}) {
+    for (const bool is_reset : {false, true}) {
+      target.set_answer(bytes, is_reset);
+      for (const char* path : {"/chat/x", "/advice/x"}) {
+        EXPECT_FALSE(Chat(path).ends_with(kLastChunk)) << bytes;
+      }
+    }
+  }
+  target.set_answer(head + "\r\nid: 1\ndata: a\n\n", true);
+  for (const char* path : {"/chat/x", "/advice/x"}) {
+    EXPECT_FALSE(Chat(path).ends_with(kLastChunk));
+  }
+}
+
 TEST_F(TargetBytes, ABodyWithoutEndIsCutAtABound) {
   const ScriptedTarget target("HTTP/1.1 200 OK\r\nResponse-Seal: s\r\n\r\n",
                               std::string(65536, 'x'));
