Reproduce events lost before a faulty one, as failing tests

Where one read brings whole events and then one that is refused (a gap, another request), both relays return the error alone, but count the events before it as relayed. The next target resumes after them, so that the caller misses them. Not shown with processes.

--- a/tests/src/unit-caller.cpp
+++ b/tests/src/unit-caller.cpp
@@ -45,6 +45,15 @@
   EXPECT_FALSE(relay.Feed(EventAt(4)).ok());
 }
 
+TEST(StreamRelay, EventsBeforeAFaultyOneAreRelayed) {
+  StreamRelay relay("r1");
+  const auto fed = relay.Feed(EventAt(0) + EventAt(2));
+  ASSERT_TRUE(fed.ok());
+  EXPECT_EQ(fed.value(), EventAt(0));
+  EXPECT_EQ(relay.next_position(), 1U);
+  EXPECT_FALSE(relay.Feed("").ok());
+}
+
 TEST(StreamRelay, RefusesEventsOfAnotherRequestAndWithoutPosition) {
   EXPECT_FALSE(StreamRelay("r1").Feed(EventAt(0, "r2")).ok());
   EXPECT_FALSE(StreamRelay("r1").Feed("data: {}\n\n").ok());
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -337,6 +337,17 @@
   EXPECT_FALSE(relay.Feed("id: 1\ndata: a\n\n").ok());
 }
 
+TEST(FleetEvents, EventsBeforeAFaultyOneAreRelayed) {
+  EventRelay relay(std::nullopt);
+  const std::string event = "id: 1\ndata: a\n\n";
+  const auto fed = relay.Feed(event + "id: 3\ndata: c\n\n");
+  ASSERT_TRUE(fed.ok());
+  EXPECT_EQ(fed.value(), event);
+  EXPECT_EQ(relay.last_id(), 1U);
+  EXPECT_FALSE(relay.is_at_event_end());
+  EXPECT_FALSE(relay.Feed("").ok());
+}
+
 TEST(FleetEvents, AnEmptyResumptionIsSeenOnlyAfterEventsWereRelayed) {
   EventRelay relay(4);
   EXPECT_FALSE(relay.is_resumption_empty());
