--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -303,9 +303,7 @@
     prompt_.OnHead(now);
     RecordOlderRun(facts);
     OnBegan();
-    const bool has_events = net::Header(answer.head(), "Content-Type")
-                                .starts_with("text/event-stream");
-    if (IsStream(answer) && has_events && !relay_) relay_.emplace(std::nullopt);
+    if (ContinuesStream(answer) && !relay_) relay_.emplace(std::nullopt);
     runner.ClearSuspicion();
     metrics_.first_byte.Record(now - routed_.started);
     // The prefill is complete; decoding does not delay the prefill of others.
@@ -480,6 +478,11 @@
   return routed_.route->is_stream && answer.status() < kMultipleChoices;
 }
 
+bool RunnerProtocol::ContinuesStream(const net::AnswerStream& answer) const {
+  return IsStream(answer) && net::Header(answer.head(), "Content-Type")
+                                 .starts_with("text/event-stream");
+}
+
 Result<std::string> RunnerProtocol::Feed(std::string bytes) {
   choice_.runner->last_received_at = RuntimeClock::now();
   quarantine_.OnProgress(prompt_);
@@ -488,7 +491,13 @@
 }
 
 Result<Done> RunnerProtocol::OnStreamEnd() const {
-  if (!relay_ || relay_->is_at_event_end()) return Done{};
+  if (!relay_) return Done{};
+  if (relay_->is_at_event_end() && relay_->is_resumption_empty()) {
+    return Error{ErrorId::kTargetAnswerInvalid,
+                 choice_.runner->entry.id + " resumed the stream with no event",
+                 Verdict::kRan};
+  }
+  if (relay_->is_at_event_end()) return Done{};
   return Error{ErrorId::kStreamBroken,
                choice_.runner->entry.id + " ended the stream within an event",
                Verdict::kRan};
@@ -513,7 +522,7 @@
 
 void RunnerProtocol::OnAttemptEnd(const Target& target, const Error* error) {
   ReleaseLoad();
-  if (relay_) relay_->DiscardPartial();
+  if (relay_) relay_->Restart();
   if (error == nullptr) {
     if (!has_failure_answer_) quarantine_.OnComplete(prompt_);
     return;
