Do not promise not-run from a refusal on a reused service connection

What callers saw: the verdict "not-run" for calls that a service had run, in pools whose services check keys themselves, and for calls that may run again.

Cause: that of repeated refusals. Services name no call in their responses, and the connection may have been used before.

Change: such a refusal proves "not-run" only as the first response of its connection, which it always is for claimed calls; otherwise the verdict is "may-have-run". The call may be sent again with its key as before.

What it costs: a true refusal on a reused connection now promises less.

--- a/src/caller/service_protocol.cc
+++ b/src/caller/service_protocol.cc
@@ -96,11 +96,13 @@
       response.status() >= kMinServerErrorStatus &&
       net::Header(response.head(), "Service-Not-Run") == "1";
   if (is_refusal) {
+    // Services name no call in their responses; on a reused connection this may
+    // be an earlier refusal that was written once more.
     return {Classification::Kind::kFailed,
             {ErrorId::kTargetFailed,
              fmt::format("{} refused the call with status {}", target.id,
                          response.status()),
-             Verdict::kNotRun}};
+             response.is_first() ? Verdict::kNotRun : Verdict::kMayHaveRun}};
   }
   return {Classification::Kind::kRelay, {}};
 }
--- a/standins/service_main.cc
+++ b/standins/service_main.cc
@@ -27,6 +27,9 @@
 struct ServiceFaults {
   bool silent = false;
   bool refuse = false;
+  // A refusal is written once more this long after each answer, on the same
+  // connection; negative is never.
+  milliseconds repeat_refusal_after{-1};
   // Probability that a call runs and its answer is lost.
   double lose_answers = 0;
   milliseconds work_time{10};
@@ -43,9 +46,7 @@
       co_await StaySilent();
     }
     if (faults_.refuse) {
-      net::Response refusal = JsonAnswer(503, {{"error", "refused"}});
-      refusal.set("Service-Not-Run", "1");
-      co_await exchange.Respond(std::move(refusal));
+      co_await Refuse(exchange);
       co_return;
     }
     const bool is_read = exchange.request().method() == net::http::verb::get;
@@ -65,6 +66,9 @@
     net::Response answer = JsonAnswer(
         200, {{"path", path}, {"confirmation", is_read ? 0 : number}});
     co_await exchange.Respond(std::move(answer));
+    if (faults_.repeat_refusal_after < milliseconds(0)) co_return;
+    co_await net::Sleep(faults_.repeat_refusal_after);
+    co_await Refuse(exchange);
   }
 
   net::asio::awaitable<void> Control(net::Exchange& exchange) {
@@ -72,6 +76,9 @@
     if (change.is_object()) {
       faults_.silent = change.value("silent", faults_.silent);
       faults_.refuse = change.value("refuse", faults_.refuse);
+      faults_.repeat_refusal_after = milliseconds(
+          change.value("repeat_refusal_after_ms",
+                       std::int64_t{faults_.repeat_refusal_after.count()}));
       faults_.lose_answers = change.value("lose_answers", faults_.lose_answers);
       faults_.work_time =
           milliseconds(change.value("work_ms", faults_.work_time.count()));
@@ -86,6 +93,12 @@
   }
 
  private:
+  static net::asio::awaitable<void> Refuse(net::Exchange& exchange) {
+    net::Response refusal = JsonAnswer(503, {{"error", "refused"}});
+    refusal.set("Service-Not-Run", "1");
+    co_await exchange.Respond(std::move(refusal));
+  }
+
   ServiceFaults faults_;
   std::map<std::string, std::uint64_t> runs_;
   std::uint64_t total_ = 0;
--- a/tests/src/process-at-most-once.cpp
+++ b/tests/src/process-at-most-once.cpp
@@ -116,6 +116,21 @@
   EXPECT_EQ(RunsOf(fleet, key), 1U);
 }
 
+TEST(AtMostOnce, ARefusalWrittenOnceMoreIsNoProofForALaterCall) {
+  Fleet fleet(1, 1);
+  fleet.Publish(1, {{"pools", {{"order-desk", {{"checks_keys", true}}}}}},
+                "checked");
+  EXPECT_TRUE(Eventually(
+      [&] { return fleet.StatusOf(0).value("config_version", 0) == 2; }));
+  fleet.ControlService({{"repeat_refusal_after_ms", 100}});
+  for (int i = 0; i < 4; ++i) {
+    const std::string key = Fleet::NewKey("later" + std::to_string(i));
+    const std::string verdict = VerdictOf(fleet.Book(0, key));
+    EXPECT_TRUE(Eventually([&] { return RunsOf(fleet, key) == 1; }));
+    EXPECT_NE(verdict, "not-run");
+  }
+}
+
 TEST(AtMostOnce, AKeyForAnotherRequestIsRefused) {
   Fleet fleet(2, 1);
   const std::string key = Fleet::NewKey("other");
