Relay the events before a faulty one

A stream could go on with a piece missing: where one read of a target's bytes brought whole events and then a refused one, both relays returned the error alone but had counted the events as relayed, and the next target resumed after them. Not seen from callers; found while looking for the cause of answers inside streams elsewhere.

Change: `EventRelay` and `StreamRelay` return the events first and keep the faulty one, so that the next call, or the end of the stream, fails.

--- a/src/caller/stream_relay.cc
+++ b/src/caller/stream_relay.cc
@@ -36,11 +36,13 @@
     if (end == std::string_view::npos) break;
     const std::string_view event = rest.substr(0, end);
     auto is_next = CheckEvent(event);
-    if (!is_next.ok()) return is_next.error();
+    if (!is_next.ok() && out.empty()) return is_next.error();
+    // What came before counts as relayed; the next call fails.
+    if (!is_next.ok()) break;
     if (is_next.value()) out += rest.substr(0, end + kEventEnd.size());
     rest.remove_prefix(end + kEventEnd.size());
   }
-  if (rest.size() > kMaxEventBytes) {
+  if (out.empty() && rest.size() > kMaxEventBytes) {
     return InvalidStreamError(
         fmt::format("an event exceeds {} bytes", kMaxEventBytes));
   }
--- a/src/caller/stream_relay.h
+++ b/src/caller/stream_relay.h
@@ -24,8 +24,8 @@
   /// Parses bytes received from a target and returns the complete events to be
   /// relayed; an incomplete event is buffered. Fails on a malformed event, an
   /// event whose position is beyond `next_position()` (an earlier one is
-  /// missing) and an event without this request's id; the rest of `bytes` is
-  /// then discarded.
+  /// missing) and an event without this request's id; events
+  /// before it are returned first, and the next call fails.
   /// @pre none. Complexity: linear.
   Result<std::string> Feed(std::string_view bytes);
   /// Discards a buffered incomplete event, before another target resumes the
--- a/src/fleet/event_relay.cc
+++ b/src/fleet/event_relay.cc
@@ -43,39 +43,51 @@
 
 }  // namespace
 
+Result<bool> EventRelay::CheckEvent(std::string_view event) {
+  const auto id = IdOf(event);
+  const bool follows = id && last_id_ && *id == *last_id_ + 1;
+  if (is_resuming_ && !follows) {
+    return Error{ErrorId::kTargetAnswerInvalid,
+                 "the stream was not resumed right after its last event",
+                 Verdict::kRan};
+  }
+  is_resuming_ = false;
+  const bool is_known = id && last_id_ && *id <= *last_id_;
+  if (is_known) return false;
+  if (id && last_id_ && !follows) {
+    return Error{ErrorId::kTargetAnswerInvalid,
+                 fmt::format("event {} came after {}", *id, *last_id_),
+                 Verdict::kRan};
+  }
+  if (id) last_id_ = id;
+  has_relayed_ = true;
+  return true;
+}
+
 Result<std::string> EventRelay::Feed(std::string_view bytes) {
   partial_ += bytes;
   std::string out;
   std::string_view rest = partial_;
-  for (;;) {
+  std::optional<Error> failure;
+  while (!failure) {
     const std::size_t length = EventLength(rest);
     if (length == std::string_view::npos) break;
     const std::string_view event = rest.substr(0, length);
-    rest.remove_prefix(event.size());
-    const auto id = IdOf(event);
-    const bool follows = id && last_id_ && *id == *last_id_ + 1;
-    if (is_resuming_ && !follows) {
-      return Error{ErrorId::kTargetAnswerInvalid,
-                   "the stream was not resumed right after its last event",
-                   Verdict::kRan};
-    }
-    is_resuming_ = false;
-    const bool is_known = id && last_id_ && *id <= *last_id_;
-    if (is_known) continue;
-    if (id && last_id_ && !follows) {
-      return Error{ErrorId::kTargetAnswerInvalid,
-                   fmt::format("event {} came after {}", *id, *last_id_),
-                   Verdict::kRan};
+    const auto is_new = CheckEvent(event);
+    if (is_new.ok()) {
+      if (is_new.value()) out += event;
+      rest.remove_prefix(length);
+    } else {
+      failure = is_new.error();
     }
-    if (id) last_id_ = id;
-    has_relayed_ = true;
-    out += event;
   }
-  if (rest.size() > kMaxEventBytes) {
-    return Error{ErrorId::kTargetAnswerInvalid,
-                 fmt::format("an event is over {} bytes", kMaxEventBytes),
-                 Verdict::kRan};
+  if (!failure && rest.size() > kMaxEventBytes) {
+    failure = Error{ErrorId::kTargetAnswerInvalid,
+                    fmt::format("an event is over {} bytes", kMaxEventBytes),
+                    Verdict::kRan};
   }
+  // What came before the failure counts as relayed; the next call fails.
+  if (failure && out.empty()) return *failure;
   partial_.erase(0, partial_.size() - rest.size());
   return out;
 }
--- a/src/fleet/event_relay.h
+++ b/src/fleet/event_relay.h
@@ -26,7 +26,8 @@
 
   /// Adds bytes received from a target and returns the complete events that the
   /// caller does not have yet. An event whose id skips others is an error, as
-  /// is a run that resumes anywhere but right after the last event. @pre none.
+  /// is a run that resumes anywhere but right after the last event; the events
+  /// before it are returned first, and the next call fails. @pre none.
   Result<std::string> Feed(std::string_view bytes);
   /// Discards an incomplete event, because another target resumes the stream.
   /// @pre none.
@@ -43,6 +44,10 @@
   std::optional<std::uint64_t> last_id() const { return last_id_; }
 
  private:
+  // Checks a complete event. Returns whether to relay it; false for one that
+  // the caller has.
+  Result<bool> CheckEvent(std::string_view event);
+
   std::optional<std::uint64_t> last_id_;
   // Whether the next event must be the one after the last.
   bool is_resuming_;
