Test that the product's streams take no other answer

The engine stand-in takes `resume_answer`, as the runner stand-in does. Looked for on the product's own interface: an answer of another status, or a 200 that is no stream, inside a begun stream. It does not happen: only a 200 that bears the request's id is relayed, and each event bears it, too.

--- a/standins/engine_main.cc
+++ b/standins/engine_main.cc
@@ -50,6 +50,9 @@
   double event_gaps = 0;
   // Answers carry another request's id.
   bool cross_answers = false;
+  // Answer to requests that resume a stream: `status`, and optionally `body`;
+  // null is the rest of the stream.
+  json resume_answer;
 };
 
 struct LoadFigures {
@@ -137,6 +140,8 @@
     faults_.event_gaps = change.value("event_gaps", faults_.event_gaps);
     faults_.cross_answers =
         change.value("cross_answers", faults_.cross_answers);
+    faults_.resume_answer =
+        change.value("resume_answer", faults_.resume_answer);
     if (change.contains("slowdown")) {
       batch_.SetSlowdown(change["slowdown"].get<double>());
     }
@@ -219,6 +224,14 @@
     }
     const std::string prompt = PromptText(body);
     const std::size_t from = body.value("resume_from", std::size_t{0});
+    if (from > 0 && faults_.resume_answer.is_object()) {
+      const json& fault = faults_.resume_answer;
+      net::Response answer = net::MakeResponse(
+          fault.value("status", 200), fault.value("body", ""), "text/plain");
+      answer.set("Engine-Request-Id", RequestId(exchange));
+      co_await exchange.Respond(std::move(answer));
+      co_return;
+    }
     auto job = std::make_shared<Job>(context_.get_executor());
     job->prompt_tokens =
         std::max<std::size_t>(1, prompt.size() / placement::kBytesPerToken);
--- a/tests/src/process-streams.cpp
+++ b/tests/src/process-streams.cpp
@@ -116,6 +116,25 @@
   EXPECT_TRUE(undisturbed_.starts_with(StreamText(body)));
 }
 
+TEST_F(Streams, AResumptionThatIsNoStreamIsNotRelayed) {
+  for (const int status : {200, 302, 404, 500}) {
+    for (const char* text : {"", "a failure", "a failure\n\n"}) {
+      const json resume{{"status", status}, {"body", text}};
+      for (int i = 0; i < 3; ++i) {
+        fleet_.ControlEngine(i, {{"reset_at", 5}, {"resume_answer", resume}});
+      }
+      const auto answer = fleet_.Complete(0, "prompt", kTokens, true);
+      ASSERT_TRUE(answer.ok()) << resume << answer.error().message;
+      const std::string& body = answer.value().body();
+      EXPECT_NE(body.find("event: error"), std::string::npos) << body;
+      EXPECT_EQ(body.find("a failure"), std::string::npos) << body;
+      EXPECT_EQ(body.find("[DONE]"), std::string::npos) << body;
+      EXPECT_TRUE(undisturbed_.starts_with(StreamText(body))) << body;
+    }
+  }
+  EXPECT_GT(fleet_.Metric(0, "beryllane_stream_resumes_total"), 0);
+}
+
 TEST_F(Streams, ACallerThatGoesCancelsItsWorkOnTheEngine) {
   const std::string body =
       R"({"model":"bead-7b","stream":true,"max_tokens":100000,)"
