--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -317,7 +317,8 @@
   EXPECT_EQ(relay.Feed("id: 2\ndata: b\n\nid: 1\ndata: a\n\n").value(),
             "id: 2\ndata: b\n\n");
   EXPECT_EQ(relay.last_id(), 2U);
-  EXPECT_FALSE(relay.Feed("id: 4\ndata: d\n\n").ok());
+  EXPECT_EQ(relay.Feed("id: 3\ndata: c\n\n").value(), "id: 3\ndata: c\n\n");
+  EXPECT_FALSE(relay.Feed("id: 5\ndata: e\n\n").ok());
 }
 
 TEST(FleetEvents, ARunResumesRightAfterTheLastEventOrNotAtAll) {
