Count the time to connect and interim heads in the wait for an answer

What callers saw: nothing shown. Withdrawals came late by the time that the connection took. Change: with more_time, the wait counts from the start of the call; interim heads do not move the limit; an error names the whole wait instead of 0 ms.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -64,7 +64,9 @@
 
 AnswerStream::AnswerStream(std::unique_ptr<Connection> connection,
                            HttpClient& client, CallOptions options)
-    : connection_(std::move(connection)), client_(client), options_(options) {
+    : connection_(std::move(connection)),
+      client_(client),
+      options_(std::move(options)) {
   ResetParser();
 }
 
@@ -91,22 +93,27 @@
 asio::awaitable<Result<Done>> AnswerStream::ReadHead() {
   constexpr int kFinalStatus = 200;
   constexpr int kMaxInterimHeads = 8;
+  const auto start = RuntimeClock::now();
+  auto limit = start + options_.answer_timeout;
   for (int heads = 0; heads <= kMaxInterimHeads; ++heads) {
     Watchdog& watchdog = connection_->watchdog;
     error_code code;
-    do {
-      watchdog.Arm(options_.answer_timeout);
+    for (;;) {
+      watchdog.Arm(limit - RuntimeClock::now());
       std::tie(code, std::ignore) = co_await http::async_read_header(
           connection_->socket, connection_->buffer, *parser_, kAsTuple);
       watchdog.Disarm();
-    } while (code && ExtendWait());
+      if (!code || !ExtendWait()) break;
+      limit = RuntimeClock::now() + options_.answer_timeout;
+    }
     if (code) {
       const ErrorId id = watchdog.has_expired() ? ErrorId::kTargetSilent
                                                 : ErrorId::kTargetFailed;
       const std::string what =
-          watchdog.has_expired() ? fmt::format("no answer within {} ms",
-                                               Millis(options_.answer_timeout))
-                                 : "no answer: " + code.message();
+          watchdog.has_expired()
+              ? fmt::format("no answer within {} ms",
+                            Millis(RuntimeClock::now() - start))
+              : "no answer: " + code.message();
       co_return MakeError(id, connection_->address, what,
                           ExchangeStage::kRequestWritten);
     }
@@ -299,6 +306,7 @@
                         "the request cannot be serialized",
                         ExchangeStage::kBeforeFirstByte);
   }
+  const auto start = RuntimeClock::now();
   for (;;) {
     auto acquired = co_await Acquire(address, options);
     if (!acquired.ok()) co_return acquired.error();
@@ -308,8 +316,10 @@
                           "withdrawn before the request was sent",
                           ExchangeStage::kBeforeFirstByte);
     }
+    CallOptions rest = options;
+    if (rest.more_time) rest.answer_timeout -= RuntimeClock::now() - start;
     std::unique_ptr<AnswerStream> answer(
-        new AnswerStream(std::move(acquired.value()), *this, options));
+        new AnswerStream(std::move(acquired.value()), *this, std::move(rest)));
     auto written = StartWrite(*answer, *wire);
     if (!written.ok()) {
       // The peer closed the idle connection; nothing was sent.
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -25,7 +25,9 @@
 struct CallOptions {
   std::chrono::nanoseconds connect_timeout = std::chrono::seconds(1);
   /// Longest wait for the head of the answer after the request was written,
-  /// and for each further part of the body.
+  /// and for each further part of the body. With `more_time`, the wait for the
+  /// head counts from the start of the call, as the limit is then a time that
+  /// does not move while the connection is established.
   std::chrono::nanoseconds answer_timeout = std::chrono::seconds(10);
   /// A new connection leaves no doubt about whether bytes went out, because
   /// no earlier use can have closed it.
