Show that reported weights lapse while the list of targets is not read

A report of a target's weights counts for 5 s, whether or not the list could show them. If the store is down or this router is cut off, the list stays as it was: the target counts as having its older weights, requests expect those, and after their deadline the target is not chosen at all, until the store is back.

--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -112,6 +112,18 @@
   EXPECT_FALSE(runner.cache.Contains(1));
 }
 
+// While the store is down, the list shows the weights of before the outage.
+TEST(FleetState, AReportCountsWhileTheListIsNotRead) {
+  const PausedClock paused;
+  Fleet fleet;
+  RuntimeClock::Advance(seconds(10));
+  fleet.SetTarget(Entry("i", "s", 1));
+  const auto runner = fleet.AvailableTargets("s")[0];
+  runner->RaiseVersion("m", 2);
+  RuntimeClock::Advance(seconds(20));
+  EXPECT_EQ(runner->VersionOf("m"), 2U);
+}
+
 // A hint about an earlier incarnation can raise the known version wrongly. If
 // the list did not correct it, the target would never be ordered to load.
 TEST(FleetState, TheListCorrectsAWrongBeliefAboutWeights) {
@@ -291,6 +303,14 @@
   EXPECT_FALSE(Choose().ok());
 }
 
+TEST_F(FleetPlacement, ATargetKnownToHaveNewWeightsServesWhileTheStoreIsDown) {
+  fleet_.SetTarget(Entry("new", "s", 1));
+  fleet_.SetDesiredWeights({"m", 2}, BootClock::now());
+  fleet_.AvailableTargets("s")[0]->RaiseVersion("m", 2);
+  RuntimeClock::Advance(seconds(20));
+  EXPECT_TRUE(Choose().ok());
+}
+
 TEST_F(FleetPlacement, ARunnerMustAnswerWithTheVersionThatItsSaltNames) {
   fleet_.SetTarget(Entry("a", "s", 7));
   const auto choice = Choose();
