Check the lease for orders right before an order is written

What callers saw: nothing shown; found by reading. Cause: the lease was checked before the call. Each order opens a connection, which may take 250 ms, more than the allowance of 0.2 s between two holders; a freeze meanwhile has no limit. A new term's token could also differ from the one in the order. Change: may_send checks the lease and the token on the established connection. An order that was not sent is no sign against its target. No test shows the late order: not run.

--- a/src/fleet/weights_rollout.cc
+++ b/src/fleet/weights_rollout.cc
@@ -236,7 +236,6 @@
   constexpr int kAlreadyLoaded = 200;
   constexpr int kConflict = 409;
   constexpr int kStaleToken = 412;
-  // There must be no suspension point between this check and sending the order.
   if (!lease_.IsHeld(BootClock::now())) co_return OrderProgress::kFailed;
   platform::WeightsOrder order;
   order.model = model;
@@ -252,6 +251,10 @@
   options.connect_timeout = kOrderTimeout;
   options.answer_timeout = kOrderTimeout;
   options.unstated_idle_limit = std::chrono::nanoseconds(0);
+  // The lease may end or be acquired anew while the connection is established.
+  options.may_send = [this, token = order.fencing_token] {
+    return lease_.IsHeld(BootClock::now()) && lease_.token() == token;
+  };
   runner.switching_until = RuntimeClock::now() + kSwitchDuration;
   orders_.Add();
   peers_.AnnounceOrder(runner, model, version);
@@ -281,7 +284,9 @@
   runner.switching_until = {};
   const bool is_unreachable =
       !answer.ok() && answer.error().verdict == Verdict::kNotRun;
-  if (is_unreachable) runner.Suspect(RuntimeClock::now());
+  const bool is_withdrawn =
+      !answer.ok() && answer.error().id == ErrorId::kTargetWithdrawn;
+  if (is_unreachable && !is_withdrawn) runner.Suspect(RuntimeClock::now());
   if (!answer.ok() && !is_unreachable) co_return OrderProgress::kUnknown;
   co_return status == kConflict ? OrderProgress::kInProgress
                                 : OrderProgress::kFailed;
