Renew the wait when an answer to another request is skipped

Cause: while skipping, the client used the limit computed when the request was sent, anew for each part, so that the wait could go on beyond the time by which the run had to begin. Change: the limit is asked again before each skipped answer. Parts of one skipped answer still restart it. No test shows the late withdrawal: not run.

--- a/src/exchange/engine.cc
+++ b/src/exchange/engine.cc
@@ -105,6 +105,8 @@
     result = CallProtocol(
         protocol_, [&](auto& d) { return d.Classify(response, target); });
     if (result.kind != Classification::Kind::kMismatched) co_return result;
+    response.set_answer_timeout(
+        CallProtocol(protocol_, [](auto& d) { return d.ProgressTimeout(); }));
     auto next = co_await response.SkipAnswer();
     if (!next.ok()) co_return next.error();
   }
