Drop reported weights when the list is read, not by time alone

What callers saw: nothing yet; found in review. With the store down for 5 s a target that had just loaded new weights would count as having its older ones: requests expect those and are refused, and after their deadline the target is not chosen at all. Cause: a report of weights lapsed after the longest lag of the list, although the list had not been read since and could not show them. Change: Fleet::OnListRead drops reports that are older than the longest lag, after each successful read of the list. A refusal counts against a report only if the list does not name the version too. TheListCorrectsAWrongBeliefAboutWeights and TheListCountsOnceAReportHasExpired held that time alone ends a report; they now read the list at the same times and hold the same values. Why it works: what ends a report is the list that contradicts it.

--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -36,10 +36,9 @@
   const std::uint64_t version =
       listed == entry.weights.end() ? 0 : listed->second;
   const auto reported = reported_weights.find(model);
-  const bool has_report =
-      reported != reported_weights.end() &&
-      RuntimeClock::now() - reported->second.received_at < kMaxListLag;
-  return has_report ? std::max(version, reported->second.version) : version;
+  return reported == reported_weights.end()
+             ? version
+             : std::max(version, reported->second.version);
 }
 
 void Runner::RaiseVersion(const std::string& model, std::uint64_t version) {
@@ -50,12 +49,21 @@
 
 bool Runner::RefuteVersion(const std::string& model, std::uint64_t version) {
   const auto reported = reported_weights.find(model);
-  const bool is_refuted =
-      reported != reported_weights.end() && reported->second.version == version;
+  const auto listed = entry.weights.find(model);
+  const bool is_listed =
+      listed != entry.weights.end() && listed->second >= version;
+  const bool is_refuted = !is_listed && reported != reported_weights.end() &&
+                          reported->second.version == version;
   if (is_refuted) reported_weights.erase(reported);
   return is_refuted;
 }
 
+void Runner::DropOldReports(RuntimeClock::time_point now) {
+  std::erase_if(reported_weights, [now](const auto& reported) {
+    return now - reported.second.received_at >= kMaxListLag;
+  });
+}
+
 double Runner::EstimatedLoad(RuntimeClock::time_point now) const {
   double running = 0;
   for (const auto& [peer, load] : peer_loads) {
@@ -126,6 +134,11 @@
   by_hash_[runner->id_hash] = runner;
 }
 
+void Fleet::OnListRead() {
+  const auto now = RuntimeClock::now();
+  for (const auto& [id, runner] : targets_) runner->DropOldReports(now);
+}
+
 void Fleet::RemoveTarget(const std::string& id) {
   const auto it = targets_.find(id);
   if (it == targets_.end()) return;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -72,8 +72,8 @@
   };
   std::map<std::string, ReportedWeights> reported_weights;
 
-  /// Weights version of a model; 0 if unknown. A report counts until the list
-  /// must show it, as it may stem from an earlier incarnation. @pre none.
+  /// Weights version of a model, as listed or reported; 0 if unknown. @pre
+  /// none.
   std::uint64_t VersionOf(const std::string& model) const;
   /// Records a reported weights version of a model and clears the cache, whose
   /// entries belong to the older version. A version that is not newer changes
@@ -82,6 +82,9 @@
   /// The target refused a request that expected `version`. Returns whether that
   /// version was known from a report alone, which is then dropped. @pre none.
   bool RefuteVersion(const std::string& model, std::uint64_t version);
+  /// Drops the reports that the list, which has just been read, must show by
+  /// now: they stem from an earlier incarnation. @pre none.
+  void DropOldReports(RuntimeClock::time_point now);
   /// Estimated number of requests that run or are queued at the target. @pre
   /// none.
   double EstimatedLoad(RuntimeClock::time_point now) const;
@@ -114,6 +117,8 @@
   /// Adds or updates a target. An entry of an older incarnation, or one with a
   /// lower sequence number, is ignored. @pre none.
   void SetTarget(TargetEntry entry);
+  /// The list of targets was read, and all its entries were set. @pre none.
+  void OnListRead();
   /// Removes a target. @pre none.
   void RemoveTarget(const std::string& id);
   /// All targets, keyed by id. @pre none.
--- a/src/fleet/store_follower.cc
+++ b/src/fleet/store_follower.cc
@@ -160,6 +160,7 @@
       targets_failing_since_.reset();
     }
     RemoveDueTargets();
+    if (ok) fleet_.OnListRead();
     const milliseconds interval =
         is_relayed ? kRelayReadInterval : kTargetReadInterval;
     co_await net::Sleep(ok ? interval : kRetryBackoff);
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -135,9 +135,11 @@
   runner->RaiseVersion("m", 3);
   RuntimeClock::Advance(seconds(2));
   fleet.SetTarget(Entry("i", "s", 1));
+  fleet.OnListRead();
   EXPECT_EQ(runner->VersionOf("m"), 3U);
   RuntimeClock::Advance(seconds(4));
   fleet.SetTarget(Entry("i", "s", 1));
+  fleet.OnListRead();
   EXPECT_EQ(runner->VersionOf("m"), 1U);
 }
 
@@ -150,8 +152,10 @@
   const auto runner = fleet.AvailableTargets("s")[0];
   runner->RaiseVersion("m", 3);
   fleet.SetTarget(Entry("i", "s", 2));
+  fleet.OnListRead();
   EXPECT_EQ(runner->VersionOf("m"), 3U);
   RuntimeClock::Advance(seconds(6));
+  fleet.OnListRead();
   EXPECT_EQ(runner->VersionOf("m"), 2U);
 }
 
