Use a target at once whose newer weights were reported meanwhile

Cause: a late refusal was applied to a newer belief. Change: a refusal counts only against the version that the request expected. The check while a request waits comes twice within the time to settle, which is the shortest time that a version read late can leave.

--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -236,9 +236,11 @@
   const auto deadline =
       fleet_.DesiredWeightsOf(routed_.request.model)
           .StartDeadline(choice_.weights_version.value_or(0), bounds);
-  // A version that is named while the request waits is read well before then.
-  constexpr int kChecks = 4;
-  if (!deadline) return bounds.lifetime / kChecks;
+  // A version that is read while the request waits leaves at least the time to
+  // settle, so its deadline has not passed at the next check.
+  constexpr int kChecks = 2;
+  constexpr milliseconds kMinInterval{250};
+  if (!deadline) return std::max(kMinInterval, bounds.settle_time / kChecks);
   return *deadline - BootClock::now();
 }
 
@@ -346,15 +348,19 @@
     return;
   }
   LogWeightsRefusal(answer);
-  const bool is_refuted = choice_.weights_version &&
-                          runner.RefuteVersion(model, *choice_.weights_version);
-  // The refusal does not say which weights the target has. A guess would keep
-  // the target from being ordered to load.
+  // Without a version in the answer it is unknown which weights the target has.
+  // A guess would keep the target from being ordered to load.
   if (answer.weights_version) {
     runner.RaiseVersion(model, *answer.weights_version);
-  } else if (may_switch) {
+    return;
+  }
+  const std::uint64_t expected = choice_.weights_version.value_or(0);
+  if (runner.RefuteVersion(model, expected)) return;
+  // A newer version was reported while the request was on its way.
+  if (runner.VersionOf(model) > expected) return;
+  if (may_switch) {
     runner.switching_until = now + kSwitchBackoff;
-  } else if (!is_refuted) {
+  } else {
     runner.Suspect(now);
   }
 }
