End the wait for a run with any answer to the request

What callers saw: nothing yet; found in review. The body of a failure was cut off at the deadline for older weights and counted as a withdrawal. Cause: the request counted as waiting until a success began. Change: a failure, which has run, ends the wait too. Result: compiles; covered by the process tests of failures alone. Why it works: a target that answers has taken the request from its queue.

--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -128,9 +128,13 @@
 
 RunnerProtocol::~RunnerProtocol() { ReleaseLoad(); }
 
-void RunnerProtocol::ReleaseLoad() {
+void RunnerProtocol::EndWait() {
   if (is_waiting_) choice_.runner->start_wait.OnEnded(prompt_.sent_at());
   is_waiting_ = false;
+}
+
+void RunnerProtocol::ReleaseLoad() {
+  EndWait();
   if (!is_load_counted_) return;
   is_load_counted_ = false;
   --choice_.runner->own_running;
@@ -318,6 +322,7 @@
     return {Classification::Kind::kRelay, {}};
   }
   has_failure_answer_ = true;
+  EndWait();
   Error error{
       ErrorId::kTargetFailed,
       fmt::format("{} answered with status {}", target.id, facts.status),
--- a/src/fleet/runner_protocol.h
+++ b/src/fleet/runner_protocol.h
@@ -129,7 +129,10 @@
   // The further time to wait for the answer; zero if the request is to be
   // withdrawn.
   std::chrono::nanoseconds ExtendWait();
+  // The run began with a success.
   void OnBegan();
+  // The request no longer waits for its run to begin.
+  void EndWait();
   void LogWithdrawal() const;
   void LogWeightsRefusal(const platform::TargetAnswer& answer) const;
   // Applies the limit that the target named, or that it named none.
