Ask one gate whether anything may be sent to a target

Callers see: requests that wait before their sending are placed anew once the list shows their target as draining or gone; if all targets of a service are draining they are served until shortly before the drain timeout, then refused at once with 503 as not run. Need: draining was one flag that placement, orders and reports each read for themselves, and cache polls and copies did not. Announcements of a leaving (and later pauses) must hold on every path to a target. Change: TargetGate, pure code, says for each kind of sending whether it may go out now. All objects for one incarnation share it, so a return to the list under the same start time does not reopen it. Leaving targets are a last resort of placement. The gate is asked again right before a request is written; a withdrawn request is placed anew without a retry of the budget. Why it works: the verdict belongs to the target's incarnation and the kind, not to the path.

--- a/src/fleet/cache_follower.cc
+++ b/src/fleet/cache_follower.cc
@@ -25,6 +25,11 @@
 constexpr milliseconds kCallInterval{250};
 constexpr milliseconds kFailureBackoff{1000};
 
+bool MayPoll(const Runner& runner) {
+  return runner.gate->MaySend(Sending{SendKind::kCachePoll},
+                              RuntimeClock::now());
+}
+
 }  // namespace
 
 CacheFollower::CacheFollower(net::HttpClient& client, Fleet& fleet,
@@ -42,7 +47,7 @@
     co_await net::Sleep(kSearchInterval);
     for (const auto& [id, runner] : fleet_.targets()) {
       const bool is_engine = !runner->entry.weights.empty();
-      if (!is_engine || followed_.contains(id)) continue;
+      if (!is_engine || followed_.contains(id) || !MayPoll(*runner)) continue;
       if (!peers_.FollowsCacheOf(*runner)) continue;
       followed_.insert(id);
       net::asio::co_spawn(client_.context(), Follow(runner),
@@ -59,7 +64,7 @@
     const auto it = fleet_.targets().find(id);
     return it != fleet_.targets().end() && it->second == runner;
   };
-  while (is_current() && peers_.FollowsCacheOf(*runner)) {
+  while (is_current() && MayPoll(*runner) && peers_.FollowsCacheOf(*runner)) {
     net::CallOptions options;
     options.answer_timeout = kPollTimeout + kAnswerMargin;
     options.unstated_idle_limit = std::chrono::nanoseconds(0);
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -108,7 +108,7 @@
     for (const auto& [model, listed] : entry.weights) {
       if (listed > runner->VersionOf(model)) runner->cache.Clear();
     }
-    entry.is_draining = entry.is_draining || runner->entry.is_draining;
+    if (entry.is_draining) runner->gate->OnListedDraining(RuntimeClock::now());
     runner->entry = std::move(entry);
     return;
   }
@@ -122,6 +122,9 @@
           static_cast<double>(service->second.engine->kv_capacity_tokens)));
     }
   }
+  runner->gate = GateOf(entry);
+  runner->gate->OnListedAgain();
+  if (entry.is_draining) runner->gate->OnListedDraining(RuntimeClock::now());
   runner->entry = std::move(entry);
   by_hash_[runner->id_hash] = runner;
 }
@@ -129,16 +132,42 @@
 void Fleet::RemoveTarget(const std::string& id) {
   const auto it = targets_.find(id);
   if (it == targets_.end()) return;
-  it->second->entry.is_draining = true;
+  it->second->gate->OnUnlisted(RuntimeClock::now());
   by_hash_.erase(it->second->id_hash);
   targets_.erase(it);
 }
 
+std::shared_ptr<TargetGate> Fleet::GateOf(const TargetEntry& entry) {
+  // Without a start time, each new entry may be another incarnation.
+  KnownGate& known = gates_[entry.id];
+  const bool is_known = known.gate && entry.start_time != 0 &&
+                        entry.start_time == known.start_time;
+  if (!is_known) {
+    known = {entry.start_time, std::make_shared<TargetGate>(drain_timeout_)};
+  }
+  return known.gate;
+}
+
 std::vector<std::shared_ptr<Runner>> Fleet::AvailableTargets(
     const std::string& service) const {
   std::vector<std::shared_ptr<Runner>> takers;
   for (const auto& [id, runner] : targets_) {
-    if (runner->entry.service == service && !runner->entry.is_draining) {
+    if (runner->entry.service == service && runner->gate->IsOpen()) {
+      takers.push_back(runner);
+    }
+  }
+  return takers;
+}
+
+std::vector<std::shared_ptr<Runner>> Fleet::LastResorts(
+    const std::string& service, RuntimeClock::time_point started) const {
+  const Sending sending{SendKind::kLastResort, started};
+  const auto now = RuntimeClock::now();
+  std::vector<std::shared_ptr<Runner>> takers;
+  for (const auto& [id, runner] : targets_) {
+    const bool is_leaving =
+        runner->entry.service == service && !runner->gate->IsOpen();
+    if (is_leaving && runner->gate->MaySend(sending, now)) {
       takers.push_back(runner);
     }
   }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -21,6 +21,7 @@
 #include "src/fleet/model.h"
 #include "src/fleet/part_cache.h"
 #include "src/fleet/start_wait.h"
+#include "src/fleet/target_gate.h"
 
 namespace beryllane::fleet {
 
@@ -69,6 +70,8 @@
     RuntimeClock::time_point received_at;
   };
   std::map<std::string, ReportedWeights> reported_weights;
+  /// Asked before anything is sent. Shared by all objects for one incarnation.
+  std::shared_ptr<TargetGate> gate = std::make_shared<TargetGate>();
 
   /// Weights version of a model; 0 if unknown. A report counts until the list
   /// must show it, as it may stem from an earlier incarnation. @pre none.
@@ -123,10 +126,19 @@
     const auto it = by_hash_.find(id_hash);
     return it == by_hash_.end() ? nullptr : it->second.get();
   }
-  /// Targets of a service that accept new requests, which excludes draining
+  /// Targets of a service that accept new requests, which excludes leaving
   /// ones. @pre none.
   std::vector<std::shared_ptr<Runner>> AvailableTargets(
       const std::string& service) const;
+  /// Leaving targets of a service to which a request that was received at
+  /// `started` may be sent if no other target can take it. @pre none.
+  std::vector<std::shared_ptr<Runner>> LastResorts(
+      const std::string& service, RuntimeClock::time_point started) const;
+  /// Time for which leaving targets may be sent requests; applies to targets
+  /// that are added later. @pre none.
+  void set_drain_timeout(std::chrono::milliseconds timeout) {
+    drain_timeout_ = timeout;
+  }
 
   /// Adds the work of a request to the mean of its service; returns whether it
   /// is at least the mean. @pre `work` >= 0, in any unit.
@@ -158,10 +170,22 @@
   void set_retry_options(RetryWindowOptions options);
 
  private:
+  // The gate of one incarnation of a target.
+  struct KnownGate {
+    std::int64_t start_time = 0;
+    std::shared_ptr<TargetGate> gate;
+  };
+
+  // The gate of the entry's incarnation, which outlives its place on the list.
+  std::shared_ptr<TargetGate> GateOf(const TargetEntry& entry);
+
   std::shared_ptr<const FleetConfig> config_;
   std::map<std::string, std::shared_ptr<Runner>> targets_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Runner>> by_hash_;
   std::map<std::string, DesiredWeightsState> desired_weights_;
+  // By target id; the latest incarnation of each.
+  std::map<std::string, KnownGate> gates_;
+  std::chrono::milliseconds drain_timeout_{2500};
   std::map<std::string, RetryWindow> budgets_;
   PartCache shared_parts_;
   int live_peers_ = 0;
--- a/src/fleet/fleet_node.cc
+++ b/src/fleet/fleet_node.cc
@@ -87,6 +87,7 @@
           caller::ErrorResponse) {
   follower_.set_peers(&peers_);
   follower_.set_quarantine(&quarantine_);
+  fleet_.set_drain_timeout(settings_.bounds.drain_timeout);
   UpdateRetryOptions();
   RegisterGauges();
 }
@@ -250,6 +251,7 @@
     // change.
     settings_.bounds = read.value().bounds;
     settings_.store_address = read.value().store_address;
+    fleet_.set_drain_timeout(settings_.bounds.drain_timeout);
     store_.set_address(settings_.store_address);
     telemetry::Log(
         Level::kInfo, telemetry::event::kReloaded,
--- a/src/fleet/part_quarantine.cc
+++ b/src/fleet/part_quarantine.cc
@@ -193,8 +193,11 @@
 awaitable<void> PartQuarantine::ConfirmCrash(std::shared_ptr<Runner> runner) {
   const auto broken_at = RuntimeClock::now();
   co_await net::Sleep(kBreakSpread);
-  const bool is_refused = co_await net::IsConnectionRefused(
-      runner->entry.address, kConnectCheckTimeout);
+  const bool may_check =
+      runner->gate->MaySend({SendKind::kConnectionCheck}, RuntimeClock::now());
+  const bool is_refused =
+      may_check && co_await net::IsConnectionRefused(runner->entry.address,
+                                                     kConnectCheckTimeout);
   const std::vector<Suspect> suspects =
       std::move(broken_.extract(runner->id_hash).mapped());
   if (!is_refused) co_return;
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -52,14 +52,14 @@
   return static_cast<std::uint32_t>(HashBytes(text).low);
 }
 
-// Targets that can take the request now: the healthy ones, or the suspect ones
-// if there is no other.
-std::vector<std::shared_ptr<Runner>> Eligible(const Fleet& fleet,
-                                              const PlacementInput& input,
-                                              RuntimeClock::time_point now) {
+// The targets that can take the request now: the healthy ones, or the suspect
+// ones if there is no other.
+std::vector<std::shared_ptr<Runner>> SelectEligible(
+    std::vector<std::shared_ptr<Runner>> targets, const PlacementInput& input,
+    RuntimeClock::time_point now) {
   std::vector<std::shared_ptr<Runner>> healthy;
   std::vector<std::shared_ptr<Runner>> suspects;
-  for (auto& runner : fleet.AvailableTargets(input.service.name)) {
+  for (auto& runner : targets) {
     const auto& tried = input.tried;
     const bool was_tried =
         std::find(tried.begin(), tried.end(), runner->entry.id) != tried.end();
@@ -70,6 +70,16 @@
   return healthy.empty() ? suspects : healthy;
 }
 
+// Leaving targets are eligible only if there is no other.
+std::vector<std::shared_ptr<Runner>> Eligible(const Fleet& fleet,
+                                              const PlacementInput& input,
+                                              RuntimeClock::time_point now) {
+  const std::string& service = input.service.name;
+  auto eligible = SelectEligible(fleet.AvailableTargets(service), input, now);
+  if (!eligible.empty()) return eligible;
+  return SelectEligible(fleet.LastResorts(service, input.started), input, now);
+}
+
 // Targets of earlier attempts from which cached parts can still be copied: most
 // of them refused only because they are full.
 std::vector<std::shared_ptr<Runner>> TriedSources(
@@ -129,6 +139,16 @@
   return prompt_keys;
 }
 
+// The runner from which parts are copied; null if there is none.
+const Runner* SourceOf(const placement::PrefixDecision& decision,
+                       const std::vector<std::shared_ptr<Runner>>& runners,
+                       RuntimeClock::time_point now) {
+  if (!decision.fetch_from) return nullptr;
+  const Runner& source = *runners[*decision.fetch_from];
+  const bool may_copy = source.gate->MaySend({SendKind::kCopySource}, now);
+  return may_copy ? &source : nullptr;
+}
+
 PlacementDecision ChooseForEngine(const Fleet& fleet,
                                   const PlacementSettings& settings,
                                   const PlacementInput& input,
@@ -177,9 +197,8 @@
       placement::ChooseByPrefix(candidates, query, weights);
   PlacementDecision choice;
   choice.runner = runners[decision.index];
-  if (decision.fetch_from) {
-    choice.fetch_from = runners[*decision.fetch_from]->entry.address;
-  }
+  const Runner* const source = SourceOf(decision, runners, now);
+  if (source != nullptr) choice.fetch_from = source->entry.address;
   if (version > 0) choice.weights_version = version;
   choice.cache_salt = prompt_keys.salt;
   const std::uint32_t held = candidates[decision.index].held_tokens;
@@ -191,9 +210,8 @@
   choice.candidates = eligible;
   for (const std::uint64_t key : prompt_keys.keys) {
     const PartCache& cache = choice.runner->cache;
-    const bool is_copied = !cache.Contains(key) && decision.fetch_from;
-    const PartCache& holder =
-        is_copied ? runners[*decision.fetch_from]->cache : cache;
+    const bool is_copied = !cache.Contains(key) && source != nullptr;
+    const PartCache& holder = is_copied ? source->cache : cache;
     choice.not_before = std::max(choice.not_before, holder.ReadyAt(key));
   }
   choice.not_before = std::min(choice.not_before, now + kMaxSendDelay);
@@ -287,7 +305,7 @@
   std::vector<std::string> ruled_out = input.tried;
   for (;;) {
     const PlacementInput rest{input.service, input.account, input.request,
-                              ruled_out};
+                              ruled_out,     input.started, input.is_large};
     auto choice = ChooseByCost(fleet, settings, rest, now);
     if (!choice.ok()) {
       if (ruled_out.size() == input.tried.size()) return choice;
@@ -298,6 +316,7 @@
                    Verdict::kNotRun};
     }
     Runner& runner = *choice.value().runner;
+    choice.value().is_last_resort = !runner.gate->IsOpen();
     runner.limit.CountDemand(now);
     if (runner.limit.MaySend(fleet.live_peers(), now, input.is_large)) {
       return choice;
--- a/src/fleet/placement.h
+++ b/src/fleet/placement.h
@@ -27,6 +27,8 @@
 /// The target chosen for one attempt, and how to send the request to it.
 struct PlacementDecision {
   std::shared_ptr<Runner> runner;
+  /// The target leaves, and no other can take the request.
+  bool is_last_resort = false;
   /// Runner from which this one copies cached parts that it lacks.
   std::optional<net::Address> fetch_from;
   /// Weights version with which the runner must answer.
@@ -53,6 +55,8 @@
   const platform::CallerRequest& request;
   /// Ids of the targets that previous attempts used.
   const std::vector<std::string>& tried;
+  /// When the request was received.
+  RuntimeClock::time_point started;
   /// Whether the request is at least as much work as the mean of its service.
   bool is_large = true;
 };
--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -77,6 +77,10 @@
       budget_spent(registry.GetCounter(
           "beryllane_fleet_budget_spent_total",
           "Repeats not made because the retry budget was spent")),
+      placed_elsewhere(registry.GetCounter(
+          "beryllane_fleet_placed_elsewhere_total",
+          "Requests placed anew because their target was closed to them "
+          "before they were sent")),
       foreign_answers(
           registry.GetCounter("beryllane_fleet_foreign_answers_total",
                               "Answers that belonged to another request")),
@@ -142,7 +146,7 @@
   }
   if (auto refusal = quarantine_.FindQuarantined(prompt_)) return *refusal;
   const PlacementInput input{*routed_.service, routed_.account, routed_.request,
-                             tried_targets_, is_large_};
+                             tried_targets_,   routed_.started, is_large_};
   auto choice =
       ChooseTarget(fleet_, placement_settings_, input, RuntimeClock::now());
   if (!choice.ok()) return choice.error();
@@ -216,6 +220,13 @@
   return options;
 }
 
+bool RunnerProtocol::IsAdmitted() const {
+  const SendKind kind =
+      choice_.is_last_resort ? SendKind::kLastResort : SendKind::kRequest;
+  return choice_.runner->gate->MaySend({kind, routed_.started},
+                                       RuntimeClock::now());
+}
+
 std::chrono::nanoseconds RunnerProtocol::ProgressTimeout() const {
   constexpr std::chrono::nanoseconds kShortest = milliseconds(1);
   std::chrono::nanoseconds left = routed_.TimeLeft();
@@ -236,7 +247,7 @@
 }
 
 bool RunnerProtocol::MaySend() const {
-  return TimeToStart() > std::chrono::nanoseconds(0);
+  return IsAdmitted() && TimeToStart() > std::chrono::nanoseconds(0);
 }
 
 std::chrono::nanoseconds RunnerProtocol::ExtendWait() {
@@ -499,13 +510,23 @@
   if (is_unreachable && !is_alive && !is_withdrawn_) {
     choice_.runner->Suspect(now);
   }
-  const bool has_arrived = error->id != ErrorId::kTargetUnreachable &&
-                           error->id != ErrorId::kTargetWithdrawn;
+  const bool is_unsent = error->id == ErrorId::kTargetWithdrawn;
+  if (is_unsent) OnUnsent();
+  const bool has_arrived =
+      error->id != ErrorId::kTargetUnreachable && !is_unsent;
   if (has_arrived) ++delivered_;
   if (error->verdict != Verdict::kNotRun) ++possible_runs_;
   LogFailedAttempt(target, *error);
 }
 
+void RunnerProtocol::OnUnsent() {
+  ++unsent_;
+  if (IsAdmitted()) return;
+  // It may still be the last resort.
+  tried_targets_.pop_back();
+  metrics_.placed_elsewhere.Add();
+}
+
 void RunnerProtocol::LogFailedAttempt(const Target& target,
                                       const Error& error) const {
   telemetry::Log(telemetry::Level::kWarning, telemetry::event::kAttemptFailed,
@@ -531,7 +552,8 @@
 bool RunnerProtocol::ShouldRetry(Error& error, int attempts) {
   // Bounds all attempts, including those that reach no target.
   constexpr int kMaxTries = 6;
-  if (attempts >= kMaxTries || routed_.TimeLeft() <= milliseconds(0)) {
+  const int tries = attempts - unsent_;
+  if (tries >= kMaxTries || routed_.TimeLeft() <= milliseconds(0)) {
     return false;
   }
   const bool is_safe = error.verdict == Verdict::kNotRun || IsIdempotent();
--- a/src/fleet/runner_protocol.h
+++ b/src/fleet/runner_protocol.h
@@ -32,6 +32,7 @@
   Counter& attempts;
   Counter& repeats;
   Counter& budget_spent;
+  Counter& placed_elsewhere;
   Counter& foreign_answers;
   Counter& older_weights_runs;
   Counter& withdrawn;
@@ -102,6 +103,10 @@
   }
   // Whether the connection ended before the target had answered.
   bool IsBrokenOff(const Error& error) const;
+  // Whether the target's gate lets the request go there.
+  bool IsAdmitted() const;
+  // The request was not sent, because it may not go to its target any more.
+  void OnUnsent();
   // Removes this request from the load counted for its runner.
   void ReleaseLoad();
   // Records that the chosen runner is about to cache the parts that it lacks,
@@ -118,7 +123,8 @@
   // Time until the run must have begun on the weights that were expected, or
   // until this is to be asked again.
   std::chrono::nanoseconds TimeToStart() const;
-  // Whether the run can still begin in time. Called right before sending.
+  // Whether the request may go to its target and the run can begin in time.
+  // Called right before sending.
   bool MaySend() const;
   // The further time to wait for the answer; zero if the request is to be
   // withdrawn.
@@ -153,6 +159,9 @@
   // Number of attempts that may have reached a target; those after the first
   // count against the retry budget.
   int delivered_ = 0;
+  // Number of attempts that ended before the request was sent, because it may
+  // not go to the target any more.
+  int unsent_ = 0;
   // Number of targets at which the request may have run.
   int possible_runs_ = 0;
   // Whether the target answered the current attempt with a failure.
--- a/src/fleet/weights_rollout.cc
+++ b/src/fleet/weights_rollout.cc
@@ -51,6 +51,10 @@
 constexpr int kMaxUnansweredOrders = 2;
 constexpr std::string_view kLeaseKey = "weights";
 
+bool MaySend(const Runner& runner, SendKind kind) {
+  return runner.gate->MaySend(Sending{kind}, RuntimeClock::now());
+}
+
 }  // namespace
 
 WeightsRollout::WeightsRollout(platform::StoreClient& store,
@@ -97,7 +101,7 @@
     bool is_behind = false;
     for (const auto& [id, runner] : fleet_.targets()) {
       const bool has_model = runner->entry.weights.contains(model);
-      if (!has_model || runner->entry.is_draining) continue;
+      if (!has_model || !MaySend(*runner, SendKind::kOrder)) continue;
       work.runners.push_back(runner);
       is_behind = is_behind || runner->VersionOf(model) < desired.version();
     }
@@ -210,9 +214,12 @@
   int unanswered = 0;
   while (progress != OrderProgress::kFailed &&
          unanswered < kMaxUnansweredOrders && RuntimeClock::now() < deadline &&
-         !runner->entry.is_draining && runner->VersionOf(model) < version) {
+         MaySend(*runner, SendKind::kReport) &&
+         runner->VersionOf(model) < version) {
     if (progress == OrderProgress::kIdle) {
-      progress = co_await SendOrder(*runner, model, version);
+      progress = MaySend(*runner, SendKind::kOrder)
+                     ? co_await SendOrder(*runner, model, version)
+                     : OrderProgress::kFailed;
       if (progress == OrderProgress::kUnknown) ++unanswered;
       continue;
     }
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -224,7 +224,8 @@
     request_.parts = {{"aa", 500}, {"bb", 400}, {"cc", 100}};
   }
   Result<PlacementDecision> Choose() {
-    const PlacementInput input{service_, nullptr, request_, tried_};
+    const PlacementInput input{service_, nullptr, request_, tried_,
+                               RuntimeClock::now()};
     return ChooseTarget(fleet_, placement_settings_, input,
                         RuntimeClock::now());
   }
