Take a target that announces its leaving out at once

Change: the header is decoded once, from each head that arrives on a call to a target: requests, orders, reports and cache polls, also of answers that are skipped or break off. It is credited to the target that gave it: the one that it names, the present owner of the address for a 421 without a name, otherwise the one that was called. Idle connections are closed and none is kept. Log event target-leaving, two counters. Why it works: the gate belongs to the incarnation and closes once; only a new start time gets another.

--- a/src/fleet/cache_follower.cc
+++ b/src/fleet/cache_follower.cc
@@ -68,6 +68,7 @@
     net::CallOptions options;
     options.answer_timeout = kPollTimeout + kAnswerMargin;
     options.unstated_idle_limit = std::chrono::nanoseconds(0);
+    fleet_.WatchAnswers(*runner, options);
     auto answer = co_await client_.Call(
         runner->entry.address,
         platform::MakeCacheChangesRequest(since, kPollTimeout, id), options);
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -148,6 +148,36 @@
   return known.gate;
 }
 
+void Fleet::WatchAnswers(Runner& runner, net::CallOptions& options) {
+  options.on_head = [this, &runner](const auto& head) {
+    Observe(runner, platform::DecodeNotice(head));
+  };
+  options.may_reuse = [&runner] { return runner.gate->IsOpen(); };
+}
+
+Runner* Fleet::GiverOf(Runner& asked,
+                       const platform::TargetNotice& notice) const {
+  const bool is_named = !notice.target_id.empty();
+  if (is_named && notice.target_id != asked.entry.id) {
+    const auto named = targets_.find(notice.target_id);
+    return named == targets_.end() ? nullptr : named->second.get();
+  }
+  if (is_named || !notice.is_misdirected) return &asked;
+  // A refusal without a name comes from the present owner of the address.
+  for (const auto& [id, runner] : targets_) {
+    const bool is_owner = runner->entry.address == asked.entry.address;
+    if (is_owner && id != asked.entry.id) return runner.get();
+  }
+  return &asked;
+}
+
+void Fleet::Observe(Runner& asked, const platform::TargetNotice& notice) {
+  if (!notice.is_leaving) return;
+  Runner* const giver = GiverOf(asked, notice);
+  if (giver == nullptr || !giver->gate->OnLeaving(RuntimeClock::now())) return;
+  if (on_leaving_) on_leaving_(*giver, notice);
+}
+
 std::vector<std::shared_ptr<Runner>> Fleet::AvailableTargets(
     const std::string& service) const {
   std::vector<std::shared_ptr<Runner>> takers;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -4,6 +4,7 @@
 #ifndef BERYLLANE_SRC_FLEET_FLEET_H_
 #define BERYLLANE_SRC_FLEET_FLEET_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -17,11 +18,13 @@
 #include "beryllane/clock/runtime_clock.h"
 #include "beryllane/limit/retry_window.h"
 #include "beryllane/limit/shared_limit.h"
+#include "platform/request_codec.h"
 #include "src/fleet/desired_weights.h"
 #include "src/fleet/model.h"
 #include "src/fleet/part_cache.h"
 #include "src/fleet/start_wait.h"
 #include "src/fleet/target_gate.h"
+#include "src/net/http_client.h"
 
 namespace beryllane::fleet {
 
@@ -134,6 +137,16 @@
   /// `started` may be sent if no other target can take it. @pre none.
   std::vector<std::shared_ptr<Runner>> LastResorts(
       const std::string& service, RuntimeClock::time_point started) const;
+  /// Lets a call to a target report what its answers say about the target, and
+  /// close its connection once the target leaves. Each call to a target needs
+  /// it. @pre `runner` outlives the call.
+  void WatchAnswers(Runner& runner, net::CallOptions& options);
+  /// Called when an answer first announces that a target leaves.
+  using LeavingHandler =
+      std::function<void(Runner& runner, const platform::TargetNotice& notice)>;
+  void set_on_leaving(LeavingHandler handler) {
+    on_leaving_ = std::move(handler);
+  }
   /// Time for which leaving targets may be sent requests; applies to targets
   /// that are added later. @pre none.
   void set_drain_timeout(std::chrono::milliseconds timeout) {
@@ -178,6 +191,10 @@
 
   // The gate of the entry's incarnation, which outlives its place on the list.
   std::shared_ptr<TargetGate> GateOf(const TargetEntry& entry);
+  // Credits an answer to the call of `asked` to the target that gave it.
+  void Observe(Runner& asked, const platform::TargetNotice& notice);
+  // The target that gave an answer; null if it is not on the list.
+  Runner* GiverOf(Runner& asked, const platform::TargetNotice& notice) const;
 
   std::shared_ptr<const FleetConfig> config_;
   std::map<std::string, std::shared_ptr<Runner>> targets_;
@@ -186,6 +203,7 @@
   // By target id; the latest incarnation of each.
   std::map<std::string, KnownGate> gates_;
   std::chrono::milliseconds drain_timeout_{2500};
+  LeavingHandler on_leaving_;
   std::map<std::string, RetryWindow> budgets_;
   PartCache shared_parts_;
   int live_peers_ = 0;
--- a/src/fleet/fleet_node.cc
+++ b/src/fleet/fleet_node.cc
@@ -88,10 +88,30 @@
   follower_.set_peers(&peers_);
   follower_.set_quarantine(&quarantine_);
   fleet_.set_drain_timeout(settings_.bounds.drain_timeout);
+  fleet_.set_on_leaving(
+      [this](Runner& runner, const platform::TargetNotice& notice) {
+        OnLeaving(runner, notice);
+      });
   UpdateRetryOptions();
   RegisterGauges();
 }
 
+void FleetNode::OnLeaving(Runner& runner,
+                          const platform::TargetNotice& notice) {
+  leaving_targets_.Add();
+  const auto left = runner.gate->last_start() - RuntimeClock::now();
+  telemetry::Log(Level::kInfo, telemetry::event::kTargetLeaving,
+                 {{"target", runner.entry.id},
+                  {"start_time", runner.entry.start_time},
+                  {"request", notice.request_id},
+                  {"status", notice.status},
+                  {"last_resort_ms",
+                   std::chrono::duration_cast<milliseconds>(left).count()},
+                  {"running", runner.own_running},
+                  {"is_hinted", runner.gate->is_hinted()}});
+  client_.CloseIdle(runner.entry.address);
+}
+
 void FleetNode::RegisterGauges() {
   metrics_.AddCallbackGauge("beryllane_ready", "Whether requests can be served",
                             [this] {
--- a/src/fleet/fleet_node.h
+++ b/src/fleet/fleet_node.h
@@ -42,11 +42,16 @@
   void ApplyLimits();
   void UpdateRetryOptions();
   void RegisterGauges();
+  // An answer first announced that a target leaves.
+  void OnLeaving(Runner& runner, const platform::TargetNotice& notice);
 
   platform::Settings settings_;
   std::string settings_path_;
   std::uint16_t metrics_port_;
   MetricRegistry metrics_;
+  Counter& leaving_targets_ =
+      metrics_.GetCounter("beryllane_fleet_leaving_targets_total",
+                          "Targets that announced their leaving in an answer");
   net::ContextPool pool_{1};
   net::HttpClient client_;
   // Separate from `client_`, so that long polls of the store do not wait for
--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -216,6 +216,7 @@
   options.answer_timeout = ProgressTimeout();
   options.may_send = [this] { return MaySend(); };
   options.more_time = [this] { return ExtendWait(); };
+  fleet_.WatchAnswers(*choice_.runner, options);
   options.unstated_idle_limit = kUnstatedIdleLimit;
   return options;
 }
--- a/src/fleet/weights_rollout.cc
+++ b/src/fleet/weights_rollout.cc
@@ -259,6 +259,7 @@
   options.connect_timeout = kOrderTimeout;
   options.answer_timeout = kOrderTimeout;
   options.unstated_idle_limit = std::chrono::nanoseconds(0);
+  fleet_.WatchAnswers(runner, options);
   runner.switching_until = RuntimeClock::now() + kSwitchDuration;
   orders_.Add();
   peers_.AnnounceOrder(runner, model, version);
@@ -303,6 +304,7 @@
   options.connect_timeout = kOrderTimeout;
   options.answer_timeout = kOrderTimeout;
   options.unstated_idle_limit = std::chrono::nanoseconds(0);
+  fleet_.WatchAnswers(runner, options);
   auto answer =
       co_await client_.Call(runner.entry.address, std::move(request), options);
   if (!answer.ok()) {
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -112,6 +112,7 @@
       co_return MakeError(id, connection_->address, what,
                           ExchangeStage::kRequestWritten);
     }
+    if (options_.on_head) options_.on_head(head());
     if (status() >= kFinalStatus) co_return Done{};
     ResetParser();
   }
@@ -201,7 +202,8 @@
   const bool is_reusable = part.empty() && connection_ && is_reusable_ &&
                            parser_->keep_alive() && !parser_->need_eof() &&
                            *connection_->is_written &&
-                           connection_->buffer.size() == 0;
+                           connection_->buffer.size() == 0 &&
+                           (!options_.may_reuse || options_.may_reuse());
   if (is_reusable) {
     connection_->idle_until = RuntimeClock::now() + IdleLimit();
     connection_->is_new = false;
@@ -248,6 +250,8 @@
   return nullptr;
 }
 
+void HttpClient::CloseIdle(const Address& address) { idle_.erase(address); }
+
 void HttpClient::PutIdle(std::unique_ptr<Connection> connection) {
   auto& idle = idle_[connection->address];
   idle.push_back(std::move(connection));
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -40,6 +40,12 @@
   /// Asked when `answer_timeout` has passed: the further time to wait, zero to
   /// give up. Empty is always zero.
   std::function<std::chrono::nanoseconds()> more_time;
+  /// Given each head that arrives, also of answers that are skipped or whose
+  /// body breaks off. May be empty.
+  std::function<void(const http::response_header<>& head)> on_head;
+  /// Asked when the answer is complete: whether its connection may serve
+  /// another call. Empty is always true.
+  std::function<bool()> may_reuse;
 };
 
 class HttpClient;
@@ -115,6 +121,8 @@
   /// Sends a request and reads the answer's head. @pre as for `Call`.
   asio::awaitable<Result<std::unique_ptr<AnswerStream>>> Open(
       Address address, Request request, CallOptions options);
+  /// Closes the idle connections to an address. @pre as for `Call`.
+  void CloseIdle(const Address& address);
 
  private:
   friend class AnswerStream;
--- a/src/telemetry/log.h
+++ b/src/telemetry/log.h
@@ -46,6 +46,7 @@
 inline constexpr std::string_view kRequestWithdrawn = "request-withdrawn";
 inline constexpr std::string_view kPeersUnavailable = "peers-unavailable";
 inline constexpr std::string_view kReloaded = "reloaded";
+inline constexpr std::string_view kTargetLeaving = "target-leaving";
 inline constexpr std::string_view kTargetLimit = "target-limit";
 inline constexpr std::string_view kTargetCrashed = "target-crashed";
 inline constexpr std::string_view kPartQuarantined = "part-quarantined";
--- a/standins/runner_main.cc
+++ b/standins/runner_main.cc
@@ -66,6 +66,8 @@
   int cut_at = -1;
   // Requests a second that answers name as a limit; negative is none.
   double limit = -1;
+  // All answers say that the target leaves.
+  bool leaving = false;
   // Id of the prompt part on which the process ends once it has sent the head
   // of an answer; empty is none.
   std::string deadly_part;
@@ -100,10 +102,10 @@
     if (!expected.empty() && expected != id_) {
       net::Response answer = JsonAnswer(421, json::object());
       answer.set("Instance-Id", id_);
-      co_await exchange.Respond(std::move(answer));
+      co_await Respond(exchange, std::move(answer));
     } else if (path == "/api/report") {
       net::Response answer = JsonAnswer(200, Report());
-      co_await exchange.Respond(std::move(answer));
+      co_await Respond(exchange, std::move(answer));
     } else if (path.starts_with("/api/kv-events?since=")) {
       co_await TellCacheChanges(exchange, path);
     } else if (path == "/api/order" && faults_.ignore_orders) {
@@ -129,6 +131,7 @@
           change.value("ignore_orders", faults_.ignore_orders);
       faults_.hold = change.value("hold", faults_.hold);
       faults_.cut_at = change.value("cut_at", faults_.cut_at);
+      faults_.leaving = change.value("leaving", faults_.leaving);
       faults_.limit = change.value("limit", faults_.limit);
       faults_.deadly_part = change.value("deadly_part", faults_.deadly_part);
       faults_.step = milliseconds(
@@ -152,6 +155,17 @@
   }
 
  private:
+  // Sends an answer that says that the target leaves where it does.
+  awaitable<bool> Respond(net::Exchange& exchange, net::Response answer) const {
+    AnnounceLeaving(answer);
+    co_return co_await exchange.Respond(std::move(answer));
+  }
+
+  template <typename Message>
+  void AnnounceLeaving(Message& answer) const {
+    if (faults_.leaving) answer.set("Server-Leaving", "1");
+  }
+
   static json Models(std::uint64_t version) {
     const std::string model = absl::GetFlag(FLAGS_model);
     if (model.empty()) return json::array();
@@ -208,7 +222,7 @@
     }
     highest_token_ = std::max(highest_token_, token);
     net::Response answer = JsonAnswer(status, json::object());
-    co_await exchange.Respond(std::move(answer));
+    co_await Respond(exchange, std::move(answer));
     if (status != 202) co_return;
     orders_.push_back(order);
     if (run_log_.is_open()) Log({{"order", order}});
@@ -231,7 +245,7 @@
           JsonAnswer(is_other_version ? 421 : 503, json::object());
       answer.set("Not-Executed", "1");
       answer.set("Instance-Id", id_);
-      co_await exchange.Respond(std::move(answer));
+      co_await Respond(exchange, std::move(answer));
       co_return;
     }
     ++runs_[id];
@@ -245,16 +259,16 @@
     }
     if (faults_.answer_other) {
       net::Response other = Answer("another-request", "not yours");
-      co_await exchange.Respond(std::move(other));
+      co_await Respond(exchange, std::move(other));
     }
     if (faults_.fail) {
       net::Response failure = Answer(id, "failed");
       failure.result(500);
-      co_await exchange.Respond(std::move(failure));
+      co_await Respond(exchange, std::move(failure));
     } else if (net::Header(request, "Token-Usage").empty()) {
       net::Response answer =
           Answer(id, "ran at " + id_ + ": " + request.body());
-      co_await exchange.Respond(std::move(answer));
+      co_await Respond(exchange, std::move(answer));
     } else {
       co_await Stream(exchange, id);
     }
@@ -280,7 +294,7 @@
       co_await net::Sleep(kPoll);
     }
     net::Response answer = JsonAnswer(200, cache_.Since(since));
-    co_await exchange.Respond(std::move(answer));
+    co_await Respond(exchange, std::move(answer));
   }
 
   void Remember(const net::Request& request) {
@@ -299,6 +313,8 @@
   void LogRun(const std::string& id) {
     json run = last_;
     run["run"] = id;
+    run["born"] = born_;
+    run["leaving"] = faults_.leaving;
     Log(std::move(run));
   }
 
@@ -344,6 +360,7 @@
                                                     net::kHttp11);
     head.set(net::http::field::content_type, "text/event-stream");
     SetHeaders(head, id);
+    AnnounceLeaving(head);
     if (!co_await exchange.StartStream(std::move(head))) co_return;
     co_await CrashOnDeadlyPart(exchange.request());
     const std::string last(net::Header(exchange.request(), "Last-Event-Id"));
--- a/tests/src/unit-platform_codec.cpp
+++ b/tests/src/unit-platform_codec.cpp
@@ -269,5 +269,23 @@
   }
 }
 
+TEST(PlatformAnswers, ALeavingTargetSaysSoToTheRouterAlone) {
+  net::Response response = net::MakeResponse(503, "", "text/plain");
+  EXPECT_FALSE(DecodeNotice(response.base()).is_leaving);
+  response.set("Server-Leaving", "0");
+  EXPECT_FALSE(DecodeNotice(response.base()).is_leaving);
+  response.set("Server-Leaving", " 1 ");
+  response.set("Instance-Id", "i-7");
+  const TargetNotice notice = DecodeNotice(response.base());
+  EXPECT_TRUE(notice.is_leaving);
+  EXPECT_EQ(notice.target_id, "i-7");
+  EXPECT_FALSE(notice.is_misdirected);
+  net::http::fields copied;
+  CopyAnswerHeaders(response.base(), copied);
+  EXPECT_EQ(net::Header(copied, "Server-Leaving"), "");
+  response.result(421);
+  EXPECT_TRUE(DecodeNotice(response.base()).is_misdirected);
+}
+
 }  // namespace
 }  // namespace beryllane::platform
--- a/tests/src/unit-target_gate.cpp
+++ b/tests/src/unit-target_gate.cpp
@@ -87,10 +87,10 @@
   EXPECT_FALSE(gate_.IsOpen());
 }
 
-// Every call that opens something to a target, and the kinds that it asks for.
-TEST(TargetPaths, EachAsksTheGate) {
+// How often each file of the request path matches a pattern.
+std::map<std::string, int> CountMatches(const std::string& pattern) {
   const std::filesystem::path root = BERYLLANE_SOURCE_DIR;
-  const std::regex call(R"(\bclient_\.(Call|Open)\(|IsConnectionRefused\()");
+  const std::regex call(pattern);
   std::map<std::string, int> calls;
   for (const char* folder : {"src/fleet", "src/exchange"}) {
     for (const auto& file :
@@ -103,11 +103,18 @@
       }
     }
   }
+  return calls;
+}
+
+// Every call that opens something to a target, and the kinds that it asks for.
+TEST(TargetPaths, EachAsksTheGate) {
+  const std::filesystem::path root = BERYLLANE_SOURCE_DIR;
   const std::map<std::string, int> expected{{"cache_follower.cc", 1},
                                             {"engine.cc", 1},
                                             {"part_quarantine.cc", 1},
                                             {"weights_rollout.cc", 2}};
-  EXPECT_EQ(calls, expected);
+  EXPECT_EQ(CountMatches(R"(\bclient_\.(Call|Open)\(|IsConnectionRefused\()"),
+            expected);
   const std::multimap<std::string, std::string> askers{
       {"kCachePoll", "cache_follower.cc"},
       {"kOrder", "weights_rollout.cc"},
@@ -124,5 +131,13 @@
   }
 }
 
+// A connection check has no answer; requests set their options in the protocol.
+TEST(TargetPaths, EachAnswerIsObserved) {
+  const std::map<std::string, int> expected{{"cache_follower.cc", 1},
+                                            {"runner_protocol.cc", 1},
+                                            {"weights_rollout.cc", 2}};
+  EXPECT_EQ(CountMatches(R"(fleet_\.WatchAnswers\()"), expected);
+}
+
 }  // namespace
 }  // namespace beryllane::fleet
