Tell peers once that a target leaves

Callers see: routers that had no answer of a leaving target yet stop choosing it too, while another target can take the request. Need: at some hundred routers most have not called a target in the moment in which it begins to leave. Change: the first announcement is broadcast with the target's start time, unless a peer was first. Result: Leaving.PeersHearOfIt passes, and fails if nothing is sent. Why it works: each router sends at most once, since its gate closes once.

--- a/src/fleet/fleet_node.cc
+++ b/src/fleet/fleet_node.cc
@@ -110,6 +110,7 @@
                   {"running", runner.own_running},
                   {"is_hinted", runner.gate->is_hinted()}});
   client_.CloseIdle(runner.entry.address);
+  peers_.AnnounceLeaving(runner);
 }
 
 void FleetNode::RegisterGauges() {
--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -43,6 +43,7 @@
 constexpr const char* kOrders = "o";
 constexpr const char* kLease = "e";
 constexpr const char* kLimits = "m";
+constexpr const char* kLeaving = "g";
 // Demand in requests per second below which a batch does not list a target.
 constexpr double kMinReportedDemand = 0.05;
 // Limit that stands for none.
@@ -185,6 +186,19 @@
   Broadcast(kLimits, {self_.host_id, {LimitReport(runner)}});
 }
 
+void Peers::AnnounceLeaving(const Runner& runner) {
+  if (runner.gate->is_hinted()) return;
+  Broadcast(kLeaving, {runner.id_hash, runner.entry.start_time});
+}
+
+void Peers::ReceiveLeaving(const json& target) {
+  Runner* runner = fleet_.FindByHash(target.at(0).get<std::uint64_t>());
+  const bool is_same_incarnation =
+      runner != nullptr &&
+      runner->entry.start_time == target.at(1).get<std::int64_t>();
+  if (is_same_incarnation) runner->gate->OnPeerHint();
+}
+
 json Peers::LimitReport(const Runner& runner) {
   const SharedLimit& limit = runner.limit;
   return {runner.id_hash, limit.is_set() ? limit.per_second() : kNoLimit,
@@ -309,6 +323,7 @@
     }
     if (body.contains(kSender)) MarkIdle(body.at(kSender).at(0));
     if (body.contains(kLimits)) ReceiveLimits(body.at(kLimits));
+    if (body.contains(kLeaving)) ReceiveLeaving(body.at(kLeaving));
     if (!body.contains(kSender)) return;
     const json& from = body.at(kSender);
     const std::string sender = from.at(0);
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -85,6 +85,9 @@
   void AnnounceLease();
   /// Announces that a target named or lifted a limit. @pre none.
   void AnnounceLimit(const Runner& runner);
+  /// Announces that a target leaves, unless a peer has announced it. @pre
+  /// called once for each incarnation of a target.
+  void AnnounceLeaving(const Runner& runner);
   /// Queues a hint that a target caches a part, for the next batch. @pre none.
   void NotePart(const Runner& runner, std::uint64_t part, std::uint32_t tokens);
   /// Retracts an earlier `NotePart`. @pre none.
@@ -122,6 +125,7 @@
   // Limit of a target and this router's demand for it.
   static nlohmann::json LimitReport(const Runner& runner);
   void ReceiveLimits(const nlohmann::json& reports);
+  void ReceiveLeaving(const nlohmann::json& target);
   void MarkIdle(const std::string& host);
   // Number of other routers that may send requests.
   int LivePeers() const;
--- a/tests/src/process-leaving.cpp
+++ b/tests/src/process-leaving.cpp
@@ -88,6 +88,17 @@
   EXPECT_TRUE(Eventually([&] { return Seen(0) + Seen(1) >= 1; }));
 }
 
+TEST_F(Leaving, PeersHearOfIt) {
+  fleet_.ControlDesk(0, {{"leaving", true}});
+  ASSERT_TRUE(SendUntilSeen(0));
+  fleet_.ControlDesk(0, {{"leaving", false}});
+  std::this_thread::sleep_for(milliseconds(300));
+  const std::size_t runs = RunsAtDesk(0);
+  EXPECT_EQ(SendMany(1, 40), 40);
+  EXPECT_EQ(RunsAtDesk(0), runs);
+  EXPECT_EQ(Seen(1), 0);
+}
+
 TEST_F(Leaving, ANewIncarnationIsUsedAgain) {
   fleet_.ControlDesk(0, {{"leaving", true}});
   ASSERT_TRUE(SendUntilSeen(0));
