Let targets leave in the soak, and judge what reaches them

Callers see nothing of this. Need: the faults had no target that announces its leaving. Change: a fault lets a target announce it in all its answers and replaces the process in the end. Targets log their start time and the announcement with each run; the judge looks for runs of requests that were sent later than the drain timeout after the same router had passed an announcement of the same process on. Ends and freezes of the router in between excuse it. Result: SoakJudge.ARunAtATarget... passes, and fails without the check.

--- a/tests/soak/fault_plan.cc
+++ b/tests/soak/fault_plan.cc
@@ -23,6 +23,7 @@
     "target refuses",
     "target cuts streams",
     "target ignores orders",
+    "target leaves",
     "link to target",
     "link to store",
     "store down",
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -28,6 +28,9 @@
   /// Streams break off within an event.
   kTargetCutsStreams,
   kTargetIgnoresOrders,
+  /// The target announces in its answers that it leaves; replaced by a new
+  /// incarnation in the end.
+  kTargetLeaves,
   /// The link to a target.
   kTargetLink,
   /// The link of one router to the store.
@@ -42,7 +45,7 @@
   /// Newer weights are named.
   kNameWeights,
 };
-inline constexpr int kFaultKinds = 20;
+inline constexpr int kFaultKinds = 21;
 
 /// One fault. `index` counts routers or targets, model runners first.
 struct Fault {
--- a/tests/soak/promises.cc
+++ b/tests/soak/promises.cc
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 #include <string_view>
+#include <tuple>
 
 #include "fmt/format.h"
 #include "tests/support/platform_fleet.h"
@@ -61,6 +62,7 @@
                              excess_attempts_));
     }
     CheckOrders();
+    CheckLeaving();
     return std::move(broken_);
   }
 
@@ -149,6 +151,54 @@
     }
   }
 
+  using RouterAndTarget = std::tuple<int, std::string, std::int64_t>;
+
+  static RouterAndTarget KeyOf(const CallRecord& call, const RunRecord& run) {
+    return {call.router, run.target, run.start_time};
+  }
+
+  // When each router had first passed on an announcement of each incarnation.
+  std::map<RouterAndTarget, Instant> FindAnnouncements() {
+    std::map<RouterAndTarget, Instant> first;
+    for (const CallRecord& call : record_.calls) {
+      if (call.end != CallEnd::kAnswered || call.status != 200) continue;
+      for (const RunRecord* run : RunsOf(call.id)) {
+        const bool is_passed_on =
+            run->is_leaving &&
+            call.body == "ran at " + run->target + ": " + call.id;
+        if (!is_passed_on) continue;
+        const auto [it, is_new] =
+            first.try_emplace(KeyOf(call, *run), call.ended_at);
+        it->second = std::min(it->second, call.ended_at);
+      }
+    }
+    return first;
+  }
+
+  bool HasBreak(int router, Instant from, Instant until) const {
+    return std::any_of(record_.router_breaks.begin(),
+                       record_.router_breaks.end(),
+                       [&](const RouterBreak& pause) {
+                         return pause.router == router && pause.at >= from &&
+                                pause.at <= until;
+                       });
+  }
+
+  void CheckLeaving() {
+    const auto announcements = FindAnnouncements();
+    for (const CallRecord& call : record_.calls) {
+      for (const RunRecord* run : RunsOf(call.id)) {
+        const auto announced = announcements.find(KeyOf(call, *run));
+        if (announced == announcements.end()) continue;
+        const bool is_late = call.sent_at > announced->second + bounds_.drain;
+        if (is_late && !HasBreak(call.router, announced->second, run->at)) {
+          Report(call.id, "reached " + run->target + ", which had announced " +
+                              "that it leaves");
+        }
+      }
+    }
+  }
+
   void CheckOrders() {
     std::map<std::uint64_t, std::string> holders;
     std::map<std::string, std::uint64_t> newest;
@@ -190,7 +240,9 @@
     }
     const json& headers = line.at("headers");
     record.runs.push_back({line.at("run"), target, at, line.at("path"),
-                           line.at("body"), headers.value("Tenant", "")});
+                           line.at("body"), headers.value("Tenant", ""),
+                           line.value("born", std::int64_t{0}),
+                           line.value("leaving", false)});
   }
 }
 
--- a/tests/soak/promises.h
+++ b/tests/soak/promises.h
@@ -21,6 +21,10 @@
   std::string path;
   std::string body;
   std::string account;
+  /// Start time of the target's process.
+  std::int64_t start_time = 0;
+  /// Whether its answer announces that the target leaves.
+  bool is_leaving = false;
 };
 
 /// One order of weights that a target accepted.
@@ -44,6 +48,12 @@
   Instant until;
 };
 
+/// A moment at which a router was ended, started, frozen or thawed.
+struct RouterBreak {
+  int router = 0;
+  Instant at;
+};
+
 /// All that was seen in one soak.
 struct SoakRecord {
   std::vector<CallRecord> calls;
@@ -51,12 +61,16 @@
   std::vector<OrderRecord> orders;
   std::vector<Revocation> revocations;
   std::vector<Disturbance> disturbances;
+  std::vector<RouterBreak> router_breaks;
 };
 
 /// Limits of the fleet under test.
 struct PromiseBounds {
   /// From a change's acknowledgement until no request with the key runs.
   std::chrono::milliseconds revocation{3000};
+  /// From an announcement of a target's leaving that a router passed on until
+  /// no request to that router reaches the target.
+  std::chrono::milliseconds drain{2500};
   /// How long after a disturbance requests may still fail.
   std::chrono::milliseconds settling{4000};
   /// Targets that one attempt of an idempotent request may run at.
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -163,6 +163,10 @@
     case FaultKind::kRevokeKey:
       wants_key_revoked_ = false;
       break;
+    case FaultKind::kTargetLeaves:
+      Kill(TargetOf(fault));
+      TargetOf(fault).starts_again = true;
+      break;
     default:
       SetTargetFault(fault, false);
       SetStoreFault(fault, false);
@@ -191,6 +195,9 @@
     case FaultKind::kTargetIgnoresOrders:
       change["ignore_orders"] = is_on;
       break;
+    case FaultKind::kTargetLeaves:
+      change["leaving"] = is_on;
+      break;
     default:
       break;
   }
@@ -225,18 +232,26 @@
   is_key_revoked_ = is_revoked;
 }
 
+void Soak::NoteBreak(const Member& member) {
+  if (!member.name.starts_with("router")) return;
+  record_.router_breaks.push_back({member.index, steady_clock::now()});
+}
+
 void Soak::Pause(Member& member, bool is_paused) {
+  NoteBreak(member);
   member.process->Signal(is_paused ? SIGSTOP : SIGCONT);
   member.is_paused = is_paused && member.process->is_running();
 }
 
 void Soak::Kill(Member& member) {
+  NoteBreak(member);
   member.process->Kill();
   member.is_paused = false;
   member.is_stopping = false;
 }
 
 void Soak::Start(Member& member) {
+  NoteBreak(member);
   member.is_paused = false;
   member.is_stopping = false;
   member.starts_again = false;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -50,6 +50,7 @@
   void SetTargetFault(const Fault& fault, bool is_on);
   void SetStoreFault(const Fault& fault, bool is_on);
   void SetKey(bool is_revoked);
+  void NoteBreak(const Member& member);
   void Pause(Member& member, bool is_paused);
   void Kill(Member& member);
   void Start(Member& member);
--- a/tests/src/unit-soak.cpp
+++ b/tests/src/unit-soak.cpp
@@ -152,6 +152,30 @@
   EXPECT_EQ(Broken(3), 1U);
 }
 
+TEST_F(SoakJudge, ARunAtATargetThatHadAnnouncedItsLeaving) {
+  run_.start_time = 7;
+  RunRecord earlier = run_;
+  earlier.id = "earlier";
+  earlier.is_leaving = true;
+  CallRecord seen = call_;
+  seen.id = seen.answered_id = earlier.id;
+  seen.body = "ran at desk-0: earlier";
+  earlier.body = earlier.id;
+  seen.sent_at = call_.sent_at - milliseconds(2502);
+  seen.ended_at = call_.sent_at - milliseconds(2501);
+  record_.calls.push_back(seen);
+  record_.runs.push_back(earlier);
+  EXPECT_EQ(Broken(), 1U);
+  record_.router_breaks.push_back({seen.router, seen.ended_at});
+  EXPECT_EQ(Broken(), 0U);
+  record_.router_breaks.clear();
+  run_.start_time = 8;
+  EXPECT_EQ(Broken(), 0U);
+  run_.start_time = 7;
+  record_.calls[0].ended_at += milliseconds(2);
+  EXPECT_EQ(Broken(), 0U);
+}
+
 TEST(FaultPlan, OneSeedGivesOnePlanAndOthersGiveOthers) {
   const PlanShape shape;
   const auto plan = DrawPlan(1, shape);
