--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -116,7 +116,7 @@
     for (const auto& [model, listed] : entry.weights) {
       if (listed > runner->VersionOf(model)) runner->cache.Clear();
     }
-    entry.is_draining = entry.is_draining || runner->entry.is_draining;
+    if (entry.is_draining) runner->gate->OnListedDraining(RuntimeClock::now());
     runner->entry = std::move(entry);
     return;
   }
@@ -130,6 +130,9 @@
           static_cast<double>(service->second.engine->kv_capacity_tokens)));
     }
   }
+  runner->gate = GateOf(entry);
+  runner->gate->OnListedAgain();
+  if (entry.is_draining) runner->gate->OnListedDraining(RuntimeClock::now());
   runner->entry = std::move(entry);
   by_hash_[runner->id_hash] = runner;
 }
@@ -142,16 +145,72 @@
 void Fleet::RemoveTarget(const std::string& id) {
   const auto it = targets_.find(id);
   if (it == targets_.end()) return;
-  it->second->entry.is_draining = true;
+  it->second->gate->OnUnlisted(RuntimeClock::now());
   by_hash_.erase(it->second->id_hash);
   targets_.erase(it);
 }
 
+std::shared_ptr<TargetGate> Fleet::GateOf(const TargetEntry& entry) {
+  // Without a start time, each new entry may be another incarnation.
+  KnownGate& known = gates_[entry.id];
+  const bool is_known = known.gate && entry.start_time != 0 &&
+                        entry.start_time == known.start_time;
+  if (!is_known) {
+    known = {entry.start_time, std::make_shared<TargetGate>(drain_timeout_)};
+  }
+  return known.gate;
+}
+
+void Fleet::WatchAnswers(Runner& runner, net::CallOptions& options) {
+  options.on_head = [this, &runner](const auto& head) {
+    Observe(runner, platform::DecodeNotice(head));
+  };
+  options.may_reuse = [&runner] { return runner.gate->IsOpen(); };
+}
+
+Runner* Fleet::GiverOf(Runner& asked,
+                       const platform::TargetNotice& notice) const {
+  const bool is_named = !notice.target_id.empty();
+  if (is_named && notice.target_id != asked.entry.id) {
+    const auto named = targets_.find(notice.target_id);
+    return named == targets_.end() ? nullptr : named->second.get();
+  }
+  if (is_named || !notice.is_misdirected) return &asked;
+  // A refusal without a name comes from the present owner of the address.
+  for (const auto& [id, runner] : targets_) {
+    const bool is_owner = runner->entry.address == asked.entry.address;
+    if (is_owner && id != asked.entry.id) return runner.get();
+  }
+  return &asked;
+}
+
+void Fleet::Observe(Runner& asked, const platform::TargetNotice& notice) {
+  if (!notice.is_leaving) return;
+  Runner* const giver = GiverOf(asked, notice);
+  if (giver == nullptr || !giver->gate->OnLeaving(RuntimeClock::now())) return;
+  if (on_leaving_) on_leaving_(*giver, notice);
+}
+
 std::vector<std::shared_ptr<Runner>> Fleet::AvailableTargets(
     const std::string& service) const {
   std::vector<std::shared_ptr<Runner>> takers;
   for (const auto& [id, runner] : targets_) {
-    if (runner->entry.service == service && !runner->entry.is_draining) {
+    if (runner->entry.service == service && runner->gate->IsOpen()) {
+      takers.push_back(runner);
+    }
+  }
+  return takers;
+}
+
+std::vector<std::shared_ptr<Runner>> Fleet::LastResorts(
+    const std::string& service, RuntimeClock::time_point started) const {
+  const Sending sending{SendKind::kLastResort, started};
+  const auto now = RuntimeClock::now();
+  std::vector<std::shared_ptr<Runner>> takers;
+  for (const auto& [id, runner] : targets_) {
+    const bool is_leaving =
+        runner->entry.service == service && !runner->gate->IsOpen();
+    if (is_leaving && runner->gate->MaySend(sending, now)) {
       takers.push_back(runner);
     }
   }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -4,6 +4,7 @@
 #ifndef BERYLLANE_SRC_FLEET_FLEET_H_
 #define BERYLLANE_SRC_FLEET_FLEET_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -17,11 +18,14 @@
 #include "beryllane/clock/runtime_clock.h"
 #include "beryllane/limit/retry_window.h"
 #include "beryllane/limit/shared_limit.h"
+#include "platform/request_codec.h"
 #include "src/fleet/desired_weights.h"
 #include "src/fleet/model.h"
 #include "src/fleet/part_cache.h"
 #include "src/fleet/refusal_naming.h"
 #include "src/fleet/start_wait.h"
+#include "src/fleet/target_gate.h"
+#include "src/net/http_client.h"
 
 namespace beryllane::fleet {
 
@@ -71,6 +75,8 @@
     RuntimeClock::time_point received_at;
   };
   std::map<std::string, ReportedWeights> reported_weights;
+  /// Asked before anything is sent. Shared by all objects for one incarnation.
+  std::shared_ptr<TargetGate> gate = std::make_shared<TargetGate>();
 
   /// Weights version of a model, as listed or reported; 0 if unknown. @pre
   /// none.
@@ -130,10 +136,29 @@
     const auto it = by_hash_.find(id_hash);
     return it == by_hash_.end() ? nullptr : it->second.get();
   }
-  /// Targets of a service that accept new requests, which excludes draining
+  /// Targets of a service that accept new requests, which excludes leaving
   /// ones. @pre none.
   std::vector<std::shared_ptr<Runner>> AvailableTargets(
       const std::string& service) const;
+  /// Leaving targets of a service to which a request that was received at
+  /// `started` may be sent if no other target can take it. @pre none.
+  std::vector<std::shared_ptr<Runner>> LastResorts(
+      const std::string& service, RuntimeClock::time_point started) const;
+  /// Lets a call to a target report what its answers say about the target, and
+  /// close its connection once the target leaves. Each call to a target needs
+  /// it. @pre `runner` outlives the call.
+  void WatchAnswers(Runner& runner, net::CallOptions& options);
+  /// Called when an answer first announces that a target leaves.
+  using LeavingHandler =
+      std::function<void(Runner& runner, const platform::TargetNotice& notice)>;
+  void set_on_leaving(LeavingHandler handler) {
+    on_leaving_ = std::move(handler);
+  }
+  /// Time for which leaving targets may be sent requests; applies to targets
+  /// that are added later. @pre none.
+  void set_drain_timeout(std::chrono::milliseconds timeout) {
+    drain_timeout_ = timeout;
+  }
 
   /// Adds the work of a request to the mean of its service; returns whether it
   /// is at least the mean. @pre `work` >= 0, in any unit.
@@ -165,10 +190,27 @@
   void set_retry_options(RetryWindowOptions options);
 
  private:
+  // The gate of one incarnation of a target.
+  struct KnownGate {
+    std::int64_t start_time = 0;
+    std::shared_ptr<TargetGate> gate;
+  };
+
+  // The gate of the entry's incarnation, which outlives its place on the list.
+  std::shared_ptr<TargetGate> GateOf(const TargetEntry& entry);
+  // Credits an answer to the call of `asked` to the target that gave it.
+  void Observe(Runner& asked, const platform::TargetNotice& notice);
+  // The target that gave an answer; null if it is not on the list.
+  Runner* GiverOf(Runner& asked, const platform::TargetNotice& notice) const;
+
   std::shared_ptr<const FleetConfig> config_;
   std::map<std::string, std::shared_ptr<Runner>> targets_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Runner>> by_hash_;
   std::map<std::string, DesiredWeightsState> desired_weights_;
+  // By target id; the latest incarnation of each.
+  std::map<std::string, KnownGate> gates_;
+  std::chrono::milliseconds drain_timeout_{2500};
+  LeavingHandler on_leaving_;
   std::map<std::string, RetryWindow> budgets_;
   PartCache shared_parts_;
   int live_peers_ = 0;
--- a/standins/runner_main.cc
+++ b/standins/runner_main.cc
@@ -80,6 +80,8 @@
   json resume_answer;
   // Requests a second that answers name as a limit; negative is none.
   double limit = -1;
+  // All answers say that the target leaves.
+  bool leaving = false;
   // Id of the prompt part on which the process ends once it has sent the head
   // of an answer; empty is none.
   std::string deadly_part;
@@ -154,6 +156,7 @@
       faults_.cut_at = change.value("cut_at", faults_.cut_at);
       faults_.resume_answer =
           change.value("resume_answer", faults_.resume_answer);
+      faults_.leaving = change.value("leaving", faults_.leaving);
       faults_.limit = change.value("limit", faults_.limit);
       faults_.deadly_part = change.value("deadly_part", faults_.deadly_part);
       faults_.step = milliseconds(
@@ -177,6 +180,17 @@
   }
 
  private:
+  // Sends an answer that says that the target leaves where it does.
+  awaitable<bool> Respond(net::Exchange& exchange, net::Response answer) const {
+    AnnounceLeaving(answer);
+    co_return co_await exchange.Respond(std::move(answer));
+  }
+
+  template <typename Message>
+  void AnnounceLeaving(Message& answer) const {
+    if (faults_.leaving) answer.set("Server-Leaving", "1");
+  }
+
   static json Models(std::uint64_t version) {
     const std::string model = absl::GetFlag(FLAGS_model);
     if (model.empty()) return json::array();
@@ -195,7 +209,7 @@
     net::Response answer = JsonAnswer(200, Report());
     answer.set("Keep-Alive", "timeout=5");
     net::Response repeated = answer;
-    co_await exchange.Respond(std::move(answer));
+    co_await Respond(exchange, std::move(answer));
     if (faults_.repeat_report_after < milliseconds(0)) co_return;
     co_await net::Sleep(faults_.repeat_report_after);
     co_await exchange.Respond(std::move(repeated));
@@ -243,7 +257,7 @@
     }
     highest_token_ = std::max(highest_token_, token);
     net::Response answer = JsonAnswer(status, json::object());
-    co_await exchange.Respond(std::move(answer));
+    co_await Respond(exchange, std::move(answer));
     if (status != 202) co_return;
     orders_.push_back(order);
     if (run_log_.is_open()) Log({{"order", order}});
@@ -277,20 +291,20 @@
     }
     if (faults_.answer_other) {
       net::Response other = Answer("another-request", "not yours");
-      co_await exchange.Respond(std::move(other));
+      co_await Respond(exchange, std::move(other));
     }
     if (faults_.fail) {
       net::Response failure = Answer(id, "failed");
       failure.result(500);
-      co_await exchange.Respond(std::move(failure));
+      co_await Respond(exchange, std::move(failure));
     } else if (faults_.resume_answer.is_object() &&
                !net::Header(request, "Last-Event-Id").empty()) {
       net::Response answer = ResumeAnswer(id);
-      co_await exchange.Respond(std::move(answer));
+      co_await Respond(exchange, std::move(answer));
     } else if (net::Header(request, "Token-Usage").empty()) {
       net::Response answer =
           Answer(id, "ran at " + id_ + ": " + request.body());
-      co_await exchange.Respond(std::move(answer));
+      co_await Respond(exchange, std::move(answer));
     } else {
       co_await Stream(exchange, id);
     }
@@ -306,7 +320,7 @@
     if (faults_.prove_refusals) refusal.set("Not-Executed", "1");
     refusal.set("Instance-Id", id_);
     last_refusal_ = refusal;
-    co_await exchange.Respond(std::move(refusal));
+    co_await Respond(exchange, std::move(refusal));
   }
 
   awaitable<void> RepeatRefusal(net::Exchange& exchange) const {
@@ -339,7 +353,7 @@
       co_await net::Sleep(kPoll);
     }
     net::Response answer = JsonAnswer(200, cache_.Since(since));
-    co_await exchange.Respond(std::move(answer));
+    co_await Respond(exchange, std::move(answer));
   }
 
   void Remember(const net::Request& request) {
@@ -358,6 +372,8 @@
   void LogRun(const std::string& id) {
     json run = last_;
     run["run"] = id;
+    run["born"] = born_;
+    run["leaving"] = faults_.leaving;
     Log(std::move(run));
   }
 
@@ -412,6 +428,7 @@
                                                     net::kHttp11);
     head.set(net::http::field::content_type, "text/event-stream");
     SetHeaders(head, id);
+    AnnounceLeaving(head);
     if (!co_await exchange.StartStream(std::move(head))) co_return;
     co_await CrashOnDeadlyPart(exchange.request());
     const std::string last(net::Header(exchange.request(), "Last-Event-Id"));
