--- a/tests/src/unit-platform_codec.cpp
+++ b/tests/src/unit-platform_codec.cpp
@@ -287,5 +287,30 @@
   EXPECT_TRUE(DecodeNotice(response.base()).is_misdirected);
 }
 
+TEST(PlatformAnswers, APauseIsANumberOfSecondsOfARefusal) {
+  net::Response response = net::MakeResponse(503, "", "text/plain");
+  EXPECT_FALSE(DecodeAnswer(response.base()).pause);
+  for (const auto& [text, pause] :
+       {std::pair{" 2.25 ", milliseconds(2250)},
+        {"0", milliseconds(0)},
+        {"1e300", milliseconds(std::chrono::hours(24))}}) {
+    response.set("Retry-After", text);
+    EXPECT_EQ(DecodeAnswer(response.base()).pause, pause) << text;
+    EXPECT_EQ(DecodeAnswer(response.base()).invalid_pause, "");
+  }
+  response.result(net::http::status::too_many_requests);
+  EXPECT_FALSE(DecodeAnswer(response.base()).pause);
+}
+
+TEST(PlatformAnswers, NonsenseIsNoPauseAndIsReported) {
+  net::Response response = net::MakeResponse(503, "", "text/plain");
+  for (const char* text : {"", "-1", "nan", "inf", "1e999", "2 s", "soon",
+                           "Fri, 04 Dec 2026 23:59:59 GMT"}) {
+    response.set("Retry-After", text);
+    EXPECT_FALSE(DecodeAnswer(response.base()).pause) << text;
+    EXPECT_EQ(DecodeAnswer(response.base()).invalid_pause, text);
+  }
+}
+
 }  // namespace
 }  // namespace beryllane::platform
