Let the runner stand-in ask for a pause

For `pause_ms` it turns requests away as not run, with the time that is left in `Retry-After` or with the text that it is given, and records what reaches it between half a second after it first said so and the end.

--- a/standins/runner_main.cc
+++ b/standins/runner_main.cc
@@ -68,6 +68,10 @@
   double limit = -1;
   // All answers say that the target leaves.
   bool leaving = false;
+  // Until then requests are turned away as not run with `Retry-After`.
+  RuntimeClock::time_point paused_until;
+  // Sent instead of the time that is left of the pause; empty is none.
+  std::string retry_after;
   // Id of the prompt part on which the process ends once it has sent the head
   // of an answer; empty is none.
   std::string deadly_part;
@@ -97,6 +101,7 @@
       co_await StaySilent();
     }
     const std::string path(net::Target(exchange.request()));
+    NoteArrival(path);
     const std::string_view expected =
         net::Header(exchange.request(), "Expect-Instance");
     if (!expected.empty() && expected != id_) {
@@ -133,6 +138,14 @@
       faults_.cut_at = change.value("cut_at", faults_.cut_at);
       faults_.leaving = change.value("leaving", faults_.leaving);
       faults_.limit = change.value("limit", faults_.limit);
+      faults_.retry_after = change.value("retry_after", faults_.retry_after);
+      if (change.contains("pause_ms")) {
+        faults_.paused_until =
+            RuntimeClock::now() + milliseconds(change["pause_ms"]);
+        pause_told_at_.reset();
+        pause_arrivals_ = json::array();
+        turned_away_ = 0;
+      }
       faults_.deadly_part = change.value("deadly_part", faults_.deadly_part);
       faults_.step = milliseconds(
           change.value("step_ms", std::int64_t{faults_.step.count()}));
@@ -150,7 +163,9 @@
                     {"last", last_},
                     {"orders", orders_},
                     {"version", version_},
-                    {"running", running_}};
+                    {"running", running_},
+                    {"turned_away", turned_away_},
+                    {"pause_arrivals", pause_arrivals_}};
     co_await exchange.Respond(JsonAnswer(200, seen));
   }
 
@@ -240,11 +255,13 @@
     const bool is_other_version =
         !version.empty() && version != std::to_string(version_);
     if (is_other_version) refused_versions_.emplace(version);
-    if (faults_.refuse || is_loading_ || is_other_version) {
+    const bool is_paused = RuntimeClock::now() < faults_.paused_until;
+    if (faults_.refuse || is_loading_ || is_other_version || is_paused) {
       net::Response answer =
           JsonAnswer(is_other_version ? 421 : 503, json::object());
       answer.set("Not-Executed", "1");
       answer.set("Instance-Id", id_);
+      if (is_paused && !is_other_version) AskForPause(answer);
       co_await Respond(exchange, std::move(answer));
       co_return;
     }
@@ -274,6 +291,26 @@
     }
   }
 
+  void AskForPause(net::Response& answer) {
+    const auto now = RuntimeClock::now();
+    const std::chrono::duration<double> left = faults_.paused_until - now;
+    answer.set(net::http::field::retry_after,
+               faults_.retry_after.empty() ? fmt::format("{:.3f}", left.count())
+                                           : faults_.retry_after);
+    ++turned_away_;
+    if (!pause_told_at_) pause_told_at_ = now;
+  }
+
+  // Records the requests that a sender should have held back: what it was told
+  // had half a second to reach it.
+  void NoteArrival(const std::string& path) {
+    constexpr milliseconds kNoticeTime{500};
+    const auto now = RuntimeClock::now();
+    const bool is_unwanted = pause_told_at_ && now < faults_.paused_until &&
+                             now - *pause_told_at_ > kNoticeTime;
+    if (is_unwanted) pause_arrivals_.push_back(path);
+  }
+
   awaitable<void> WaitInQueue() {
     constexpr milliseconds kPoll{5};
     ++queued_;
@@ -402,6 +439,10 @@
   bool is_loading_ = false;
   int running_ = 0;
   int queued_ = 0;
+  // When the pause was first told.
+  std::optional<RuntimeClock::time_point> pause_told_at_;
+  json pause_arrivals_ = json::array();
+  int turned_away_ = 0;
 };
 
 int Main(int argc, char** argv) {
