Leave a target alone for the time that it asked for

A target that turned a request away with `Retry-After` got further requests, reports, polls and copies at once: the time was not read.

Its pause is now a part of the gate of its incarnation, which every path to a target asks: requests, retries, resumes and what waits before its sending, copies from it, polls, reports and orders. A pause is taken from any 503, also to an order, a report or a poll, and is not told to peers. A heartbeat or a return to the list does not end it, a new incarnation does. One order goes out in a pause if waiting would break the bound on older weights. Placement counts what goes elsewhere, and lets traffic return by steps. A text that is no time is logged and not obeyed; a time over a minute is cut.

Log events target-paused, pause-ended and pause-invalid; metrics beryllane_fleet_paused_targets, _pauses_total, _invalid_pauses_total and _pause_avoided_total.

--- a/src/fleet/cache_follower.cc
+++ b/src/fleet/cache_follower.cc
@@ -5,6 +5,8 @@
 #include <optional>
 #include <utility>
 
+#include "platform/request_codec.h"
+#include "src/fleet/pause_record.h"
 #include "src/fleet/placement.h"
 #include "src/telemetry/log.h"
 
@@ -64,8 +66,14 @@
     const auto it = fleet_.targets().find(id);
     return it != fleet_.targets().end() && it->second == runner;
   };
-  while (is_current() && MayPoll(*runner) && peers_.FollowsCacheOf(*runner)) {
+  while (is_current() && runner->gate->IsOpen() &&
+         peers_.FollowsCacheOf(*runner)) {
+    if (!MayPoll(*runner)) {
+      co_await net::Sleep(kCallInterval);
+      continue;
+    }
     net::CallOptions options;
+    options.may_send = [runner] { return MayPoll(*runner); };
     options.answer_timeout = kPollTimeout + kAnswerMargin;
     options.unstated_idle_limit = std::chrono::nanoseconds(0);
     fleet_.WatchAnswers(*runner, options);
@@ -76,6 +84,7 @@
     const bool is_answered = answer.ok() && answer.value().result_int() == kOk;
     if (!is_answered) {
       failures_.Add();
+      if (answer.ok()) NotePause(*runner, answer.value());
       co_await net::Sleep(kFailureBackoff);
       continue;
     }
@@ -108,6 +117,11 @@
   followed_.erase(id);
 }
 
+void CacheFollower::NotePause(Runner& runner, const net::Response& answer) {
+  RecordPause(fleet_, runner, platform::DecodeAnswer(answer.base()),
+              {"cache-poll", ""});
+}
+
 void CacheFollower::Apply(Runner& runner, const platform::CacheChange& change) {
   const std::uint64_t key = PartKey(change.salt, change.part_id);
   const std::uint32_t known_tokens = runner.cache.TokensOf(key);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -182,6 +182,13 @@
   /// fleet's retry budget. @pre none.
   void set_retry_options(RetryWindowOptions options);
 
+  /// Pauses that targets asked for.
+  struct PauseCounts {
+    std::uint64_t pauses = 0;
+    std::uint64_t invalid = 0;
+  };
+  PauseCounts& pause_counts() { return pause_counts_; }
+
  private:
   // The gate of one incarnation of a target.
   struct KnownGate {
@@ -209,6 +216,7 @@
   int live_peers_ = 0;
   std::map<std::string, double> mean_work_;
   RetryWindowOptions retry_options_;
+  PauseCounts pause_counts_;
 };
 
 /// Returns the route with the host name and the longest prefix of the path;
--- a/src/fleet/fleet_node.cc
+++ b/src/fleet/fleet_node.cc
@@ -92,6 +92,7 @@
       [this](Runner& runner, const platform::TargetNotice& notice) {
         OnLeaving(runner, notice);
       });
+  rollout_.set_weights_lifetime(settings_.bounds.old_weights_lifetime);
   UpdateRetryOptions();
   RegisterGauges();
 }
@@ -145,12 +146,33 @@
             targets.begin(), targets.end(),
             [](const auto& t) { return t.second->limit.is_set(); }));
       });
+  RegisterPauseGauges();
   metrics_.AddCallbackGauge(
       "beryllane_log_dropped_total",
       "Log lines dropped because their reader was slow",
       [] { return static_cast<double>(telemetry::DroppedLogLines()); });
 }
 
+void FleetNode::RegisterPauseGauges() {
+  metrics_.AddCallbackGauge(
+      "beryllane_fleet_paused_targets",
+      "Targets that want nothing from this router now", [this] {
+        const auto& targets = fleet_.targets();
+        const auto now = RuntimeClock::now();
+        return static_cast<double>(
+            std::count_if(targets.begin(), targets.end(), [now](const auto& t) {
+              return t.second->gate->pause().IsPaused(now);
+            }));
+      });
+  metrics_.AddCallbackGauge(
+      "beryllane_fleet_pauses_total", "Pauses that targets asked for",
+      [this] { return static_cast<double>(fleet_.pause_counts().pauses); });
+  metrics_.AddCallbackGauge(
+      "beryllane_fleet_invalid_pauses_total",
+      "Answers that asked for a pause of no readable time",
+      [this] { return static_cast<double>(fleet_.pause_counts().invalid); });
+}
+
 void FleetNode::UpdateRetryOptions() {
   RetryWindowOptions options;
   options.ratio = settings_.bounds.retry_ratio * kBudgetShare;
@@ -273,6 +295,7 @@
     settings_.bounds = read.value().bounds;
     settings_.store_address = read.value().store_address;
     fleet_.set_drain_timeout(settings_.bounds.drain_timeout);
+    rollout_.set_weights_lifetime(settings_.bounds.old_weights_lifetime);
     store_.set_address(settings_.store_address);
     telemetry::Log(
         Level::kInfo, telemetry::event::kReloaded,
--- a/src/fleet/fleet_node.h
+++ b/src/fleet/fleet_node.h
@@ -44,6 +44,7 @@
   void RegisterGauges();
   // An answer first announced that a target leaves.
   void OnLeaving(Runner& runner, const platform::TargetNotice& notice);
+  void RegisterPauseGauges();
 
   platform::Settings settings_;
   std::string settings_path_;
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -12,6 +12,7 @@
 using placement::Distance;
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
 using Millis = std::chrono::duration<double, std::milli>;
 
 // A request that starts on older weights loses part of its worth once newer
@@ -63,7 +64,8 @@
     const auto& tried = input.tried;
     const bool was_tried =
         std::find(tried.begin(), tried.end(), runner->entry.id) != tried.end();
-    if (was_tried || runner->switching_until > now) continue;
+    const bool may_place = runner->gate->pause().MayPlace(now);
+    if (was_tried || !may_place || runner->switching_until > now) continue;
     auto& group = runner->suspect_until > now ? suspects : healthy;
     group.push_back(std::move(runner));
   }
@@ -91,6 +93,7 @@
     const bool was_tried =
         std::find(tried.begin(), tried.end(), runner->entry.id) != tried.end();
     const bool is_source = was_tried && runner->suspect_until <= now &&
+                           !runner->gate->pause().IsPaused(now) &&
                            runner->VersionOf(input.request.model) == version;
     if (is_source) sources.push_back(std::move(runner));
   }
@@ -140,13 +143,14 @@
 }
 
 // The runner from which parts are copied; null if there is none.
-const Runner* SourceOf(const placement::PrefixDecision& decision,
-                       const std::vector<std::shared_ptr<Runner>>& runners,
-                       RuntimeClock::time_point now) {
+std::shared_ptr<Runner> SourceOf(
+    const placement::PrefixDecision& decision,
+    const std::vector<std::shared_ptr<Runner>>& runners,
+    RuntimeClock::time_point now) {
   if (!decision.fetch_from) return nullptr;
-  const Runner& source = *runners[*decision.fetch_from];
-  const bool may_copy = source.gate->MaySend({SendKind::kCopySource}, now);
-  return may_copy ? &source : nullptr;
+  const auto& source = runners[*decision.fetch_from];
+  const bool may_copy = source->gate->MaySend({SendKind::kCopySource}, now);
+  return may_copy ? source : nullptr;
 }
 
 PlacementDecision ChooseForEngine(const Fleet& fleet,
@@ -197,8 +201,9 @@
       placement::ChooseByPrefix(candidates, query, weights);
   PlacementDecision choice;
   choice.runner = runners[decision.index];
-  const Runner* const source = SourceOf(decision, runners, now);
-  if (source != nullptr) choice.fetch_from = source->entry.address;
+  const std::shared_ptr<Runner> source = SourceOf(decision, runners, now);
+  if (source) choice.fetch_from = source->entry.address;
+  choice.fetch_source = source;
   if (version > 0) choice.weights_version = version;
   choice.cache_salt = prompt_keys.salt;
   const std::uint32_t held = candidates[decision.index].held_tokens;
@@ -218,6 +223,20 @@
   return choice;
 }
 
+// Counts the request at the targets that pauses keep from taking it; returns
+// their number.
+std::uint64_t CountPassedOver(const Fleet& fleet, const std::string& service,
+                              RuntimeClock::time_point now) {
+  std::uint64_t paused = 0;
+  for (const auto& runner : fleet.AvailableTargets(service)) {
+    TargetPause& pause = runner->gate->pause();
+    if (pause.MayPlace(now)) continue;
+    pause.CountPassedOver();
+    ++paused;
+  }
+  return paused;
+}
+
 Error NoTarget(const PlacementInput& input) {
   return {ErrorId::kNoTarget,
           fmt::format("service {} has no target that can take the request",
@@ -308,10 +327,13 @@
                               ruled_out,     input.started, input.is_large};
     auto choice = ChooseByCost(fleet, settings, rest, now);
     if (!choice.ok()) {
-      if (ruled_out.size() == input.tried.size()) return choice;
+      const bool is_held_back =
+          ruled_out.size() > input.tried.size() ||
+          TimeToCapacity(fleet, input.service.name, now) > nanoseconds(0);
+      if (!is_held_back) return choice;
       return Error{ErrorId::kOverloaded,
                    fmt::format("the targets of service {} are at the limits "
-                               "that they named",
+                               "that they named, or asked for a pause",
                                input.service.name),
                    Verdict::kNotRun};
     }
@@ -319,6 +341,8 @@
     choice.value().is_last_resort = !runner.gate->IsOpen();
     runner.limit.CountDemand(now);
     if (runner.limit.MaySend(fleet.live_peers(), now, input.is_large)) {
+      choice.value().paused = CountPassedOver(fleet, input.service.name, now);
+      runner.gate->pause().OnPlaced(now);
       return choice;
     }
     ruled_out.push_back(runner.entry.id);
@@ -330,8 +354,9 @@
                                         RuntimeClock::time_point now) {
   auto shortest = std::chrono::nanoseconds::max();
   for (const auto& runner : fleet.AvailableTargets(service)) {
-    shortest =
-        std::min(shortest, runner->limit.TimeToSend(fleet.live_peers(), now));
+    shortest = std::min(
+        shortest, std::max(runner->limit.TimeToSend(fleet.live_peers(), now),
+                           runner->gate->pause().TimeToPlace(now)));
   }
   return shortest == std::chrono::nanoseconds::max()
              ? std::chrono::nanoseconds(0)
--- a/src/fleet/placement.h
+++ b/src/fleet/placement.h
@@ -31,6 +31,8 @@
   bool is_last_resort = false;
   /// Runner from which this one copies cached parts that it lacks.
   std::optional<net::Address> fetch_from;
+  /// The same runner; null if there is none.
+  std::shared_ptr<Runner> fetch_source;
   /// Weights version with which the runner must answer.
   std::optional<std::uint64_t> weights_version;
   std::string cache_salt;
@@ -46,6 +48,8 @@
   double cost_ms = 0;
   /// Number of targets among which the choice was made.
   std::size_t candidates = 0;
+  /// Number of targets that were passed over because they asked for a pause.
+  std::uint64_t paused = 0;
 };
 
 /// The request to place.
@@ -64,14 +68,14 @@
 /// Chooses the target with the lowest cost among those whose rate limits allow
 /// another request, and counts the demand at each that a limit rules out.
 /// Returns `kNoTarget` if no target can take the request, `kOverloaded` if only
-/// limits prevent it. @pre none. Not thread-safe.
+/// limits or pauses prevent it. @pre none. Not thread-safe.
 Result<PlacementDecision> ChooseTarget(const Fleet& fleet,
                                        const PlacementSettings& settings,
                                        const PlacementInput& input,
                                        RuntimeClock::time_point now);
 
-/// Time until the limits of a service's targets allow another request; zero if
-/// they allow one now. @pre none. Not thread-safe.
+/// Time until the limits and pauses of a service's targets allow another
+/// request; zero if they allow one now. @pre none. Not thread-safe.
 std::chrono::nanoseconds TimeToCapacity(const Fleet& fleet,
                                         const std::string& service,
                                         RuntimeClock::time_point now);
--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -5,6 +5,7 @@
 
 #include "beryllane/placement/prefix_policy.h"
 #include "fmt/format.h"
+#include "src/fleet/pause_record.h"
 #include "src/telemetry/log.h"
 
 namespace beryllane::fleet {
@@ -81,6 +82,9 @@
           "beryllane_fleet_placed_elsewhere_total",
           "Requests placed anew because their target was closed to them "
           "before they were sent")),
+      pause_avoided(registry.GetCounter(
+          "beryllane_fleet_pause_avoided_total",
+          "Paused targets that placed requests passed over")),
       foreign_answers(
           registry.GetCounter("beryllane_fleet_foreign_answers_total",
                               "Answers that belonged to another request")),
@@ -152,6 +156,8 @@
   if (!choice.ok()) return choice.error();
   choice_ = std::move(choice.value());
   Runner& runner = *choice_.runner;
+  RecordPauseEnd(runner, RuntimeClock::now());
+  metrics_.pause_avoided.Add(choice_.paused);
   runner.limit.CountSent();
   ++runner.own_running;
   runner.own_pending_prefill_tokens += choice_.uncached_tokens;
@@ -198,6 +204,10 @@
     call.weights_version = choice_.weights_version;
     call.cache_salt = choice_.cache_salt;
     call.urgency = UrgencyOf(*routed_.route, routed_.account);
+    if (!MayCopy()) {
+      choice_.fetch_source.reset();
+      choice_.fetch_from.reset();
+    }
     call.fetch_from = choice_.fetch_from;
   }
   if (relay_) call.last_event_id = relay_->last_id();
@@ -224,8 +234,14 @@
 bool RunnerProtocol::IsAdmitted() const {
   const SendKind kind =
       choice_.is_last_resort ? SendKind::kLastResort : SendKind::kRequest;
-  return choice_.runner->gate->MaySend({kind, routed_.started},
-                                       RuntimeClock::now());
+  return MayCopy() && choice_.runner->gate->MaySend({kind, routed_.started},
+                                                    RuntimeClock::now());
+}
+
+bool RunnerProtocol::MayCopy() const {
+  return !choice_.fetch_source ||
+         choice_.fetch_source->gate->MaySend({SendKind::kCopySource},
+                                             RuntimeClock::now());
 }
 
 std::chrono::nanoseconds RunnerProtocol::ProgressTimeout() const {
@@ -283,6 +299,7 @@
   Runner& runner = *choice_.runner;
   runner.last_received_at = now;
   if (facts.running) runner.RecordLoad(*facts.running, *facts.waiting, now);
+  RecordPause(fleet_, runner, facts, {"request", routed_.request.id});
   // A refusal without a limit does not show that the limit has ended.
   if (facts.requests_per_second || facts.is_sealed) {
     RecordLimit(facts.requests_per_second);
--- a/src/fleet/runner_protocol.h
+++ b/src/fleet/runner_protocol.h
@@ -33,6 +33,7 @@
   Counter& repeats;
   Counter& budget_spent;
   Counter& placed_elsewhere;
+  Counter& pause_avoided;
   Counter& foreign_answers;
   Counter& older_weights_runs;
   Counter& withdrawn;
@@ -105,6 +106,8 @@
   bool IsBrokenOff(const Error& error) const;
   // Whether the target's gate lets the request go there.
   bool IsAdmitted() const;
+  // Whether parts may still be copied from the runner that was chosen for it.
+  bool MayCopy() const;
   // The request was not sent, because it may not go to its target any more.
   void OnUnsent();
   // Removes this request from the load counted for its runner.
--- a/src/fleet/target_gate.cc
+++ b/src/fleet/target_gate.cc
@@ -33,6 +33,10 @@
 bool TargetGate::MaySend(const Sending& sending,
                          RuntimeClock::time_point now) const {
   if (sending.kind == SendKind::kConnectionCheck) return true;
+  if (sending.kind == SendKind::kUrgentOrder) {
+    return IsOpen() && pause_.MaySendUrgent(now);
+  }
+  if (pause_.IsPaused(now)) return false;
   if (sending.kind != SendKind::kLastResort) return IsOpen();
   if (left_at_ && sending.started > last_start()) return false;
   // The list bounds the arrival and not the start of a request.
--- a/src/fleet/target_gate.h
+++ b/src/fleet/target_gate.h
@@ -8,6 +8,7 @@
 #include <optional>
 
 #include "beryllane/clock/runtime_clock.h"
+#include "src/fleet/target_pause.h"
 
 namespace beryllane::fleet {
 
@@ -19,6 +20,8 @@
   kLastResort,
   /// An order to load weights.
   kOrder,
+  /// The same, if waiting would break the bound on older weights.
+  kUrgentOrder,
   /// The report that an order needs.
   kReport,
   /// A poll for changes of the cache.
@@ -31,9 +34,9 @@
 
 /// All kinds, for checks of every path to a target.
 inline constexpr std::array kSendKinds{
-    SendKind::kRequest,        SendKind::kLastResort, SendKind::kOrder,
-    SendKind::kReport,         SendKind::kCachePoll,  SendKind::kCopySource,
-    SendKind::kConnectionCheck};
+    SendKind::kRequest,     SendKind::kLastResort,     SendKind::kOrder,
+    SendKind::kUrgentOrder, SendKind::kReport,         SendKind::kCachePoll,
+    SendKind::kCopySource,  SendKind::kConnectionCheck};
 
 /// One thing to be sent.
 struct Sending {
@@ -42,8 +45,9 @@
   RuntimeClock::time_point started = RuntimeClock::time_point::max();
 };
 
-/// What a router knows about the leaving of one incarnation of a target. Each
-/// path to a target asks it. Used on one loop.
+/// What a router knows about the leaving of one incarnation of a target, and
+/// about the pause that it asked for. Each path to a target asks it. Used on
+/// one loop.
 class TargetGate {
  public:
   /// Time for which a leaving target may still be sent requests, as a last
@@ -76,6 +80,9 @@
   bool is_hinted() const { return is_hinted_; }
   /// Requests received later are not sent. @pre `is_leaving()`.
   RuntimeClock::time_point last_start() const;
+  /// The pause that the target asked for. @pre none.
+  TargetPause& pause() { return pause_; }
+  const TargetPause& pause() const { return pause_; }
 
  private:
   std::chrono::nanoseconds drain_timeout_;
@@ -84,6 +91,7 @@
   std::optional<RuntimeClock::time_point> draining_at_;
   std::optional<RuntimeClock::time_point> unlisted_at_;
   bool is_hinted_ = false;
+  TargetPause pause_;
 };
 
 }  // namespace beryllane::fleet
--- a/src/fleet/target_pause.cc
+++ b/src/fleet/target_pause.cc
@@ -18,6 +18,7 @@
     is_urgent_sent_ = false;
   }
   ends_at_ = end;
+  is_end_taken_ = false;
   placed_ = 0;
   return true;
 }
@@ -42,6 +43,12 @@
   return ends_at_ + kStep * (StepAt(now) + 1) - now;
 }
 
+bool TargetPause::TakeEnd(TimePoint now) {
+  if (is_end_taken_ || IsPaused(now)) return false;
+  is_end_taken_ = true;
+  return true;
+}
+
 nanoseconds SpreadRetryAfter(nanoseconds to_first_place, nanoseconds time_left,
                              std::uint64_t hash) {
   constexpr nanoseconds kMinSpread = milliseconds(100);
--- a/src/fleet/target_pause.h
+++ b/src/fleet/target_pause.h
@@ -52,6 +52,9 @@
   /// Counts such an order. @pre `MaySendUrgent(now)` at its sending.
   void OnUrgentSent() { is_urgent_sent_ = true; }
 
+  /// Whether the pause has ended; true once for each pause. @pre none.
+  bool TakeEnd(TimePoint now);
+
   /// Counts a request that went elsewhere because of the pause. @pre none.
   void CountPassedOver() { ++passed_over_; }
   /// Requests that went elsewhere since the pause began. @pre none.
@@ -66,6 +69,7 @@
   int placed_ = 0;
   std::uint64_t passed_over_ = 0;
   bool is_urgent_sent_ = false;
+  bool is_end_taken_ = true;
 };
 
 /// The time after which a refused caller should ask again, if no target takes a
--- a/src/fleet/weights_rollout.cc
+++ b/src/fleet/weights_rollout.cc
@@ -8,6 +8,7 @@
 
 #include "beryllane/rollout/planner.h"
 #include "platform/request_codec.h"
+#include "src/fleet/pause_record.h"
 #include "src/telemetry/log.h"
 
 namespace beryllane::fleet {
@@ -101,7 +102,7 @@
     bool is_behind = false;
     for (const auto& [id, runner] : fleet_.targets()) {
       const bool has_model = runner->entry.weights.contains(model);
-      if (!has_model || !MaySend(*runner, SendKind::kOrder)) continue;
+      if (!has_model || !MaySend(*runner, OrderKind(*runner, model))) continue;
       work.runners.push_back(runner);
       is_behind = is_behind || runner->VersionOf(model) < desired.version();
     }
@@ -110,6 +111,21 @@
   return std::nullopt;
 }
 
+SendKind WeightsRollout::OrderKind(const Runner& runner,
+                                   const std::string& model) const {
+  const auto left = runner.gate->pause().ends_at() - RuntimeClock::now();
+  const auto lag = fleet_.DesiredWeightsOf(model).Lag(runner.VersionOf(model),
+                                                      BootClock::now());
+  return lag + left > weights_lifetime_ ? SendKind::kUrgentOrder
+                                        : SendKind::kOrder;
+}
+
+void WeightsRollout::NotePause(Runner& runner, const net::Response& answer,
+                               std::string_view kind) {
+  RecordPause(fleet_, runner, platform::DecodeAnswer(answer.base()),
+              {kind, ""});
+}
+
 awaitable<void> WeightsRollout::AcquireLease() {
   const auto now = RuntimeClock::now();
   const auto idle_since =
@@ -206,20 +222,23 @@
                                              std::uint64_t version) {
   const std::string id = runner->entry.id;
   const auto deadline = RuntimeClock::now() + kLoadTimeout;
-  auto progress = runner->order_count ? OrderProgress::kIdle
-                                      : co_await ReadReport(*runner, model);
+  const bool needs_report =
+      !runner->order_count && MaySend(*runner, SendKind::kReport);
+  auto progress = OrderProgress::kIdle;
+  if (needs_report) progress = co_await ReadReport(*runner, model);
   // An order whose answer was lost is sent again once the target's report shows
   // that it is not in progress. The expected order count prevents the target
   // from executing both.
   int unanswered = 0;
   while (progress != OrderProgress::kFailed &&
          unanswered < kMaxUnansweredOrders && RuntimeClock::now() < deadline &&
-         MaySend(*runner, SendKind::kReport) &&
          runner->VersionOf(model) < version) {
+    const SendKind next = progress == OrderProgress::kIdle
+                              ? OrderKind(*runner, model)
+                              : SendKind::kReport;
+    if (!MaySend(*runner, next)) break;
     if (progress == OrderProgress::kIdle) {
-      progress = MaySend(*runner, SendKind::kOrder)
-                     ? co_await SendOrder(*runner, model, version)
-                     : OrderProgress::kFailed;
+      progress = co_await SendOrder(*runner, model, version);
       if (progress == OrderProgress::kUnknown) ++unanswered;
       continue;
     }
@@ -260,13 +279,16 @@
   options.answer_timeout = kOrderTimeout;
   options.unstated_idle_limit = std::chrono::nanoseconds(0);
   fleet_.WatchAnswers(runner, options);
-  runner.switching_until = RuntimeClock::now() + kSwitchDuration;
+  const auto now = RuntimeClock::now();
+  if (runner.gate->pause().IsPaused(now)) runner.gate->pause().OnUrgentSent();
+  runner.switching_until = now + kSwitchDuration;
   orders_.Add();
   peers_.AnnounceOrder(runner, model, version);
   auto answer =
       co_await client_.Call(runner.entry.address, std::move(request), options);
   const int status =
       answer.ok() ? static_cast<int>(answer.value().result_int()) : 0;
+  if (answer.ok()) NotePause(runner, answer.value(), "order");
   telemetry::Log(Level::kInfo, telemetry::event::kOrderSent,
                  {{"target", runner.entry.id},
                   {"model", model},
@@ -314,6 +336,7 @@
         ? OrderProgress::kFailed
         : OrderProgress::kInProgress;
   }
+  NotePause(runner, answer.value(), "report");
   if (answer.value().result_int() != kOk) co_return OrderProgress::kFailed;
   auto report = platform::DecodeReport(answer.value().body());
   if (!report.ok()) {
--- a/src/fleet/weights_rollout.h
+++ b/src/fleet/weights_rollout.h
@@ -29,6 +29,10 @@
   /// Stops acquiring the lease, because the process is about to end. A lease
   /// that is held is renewed until the rollout completes. @pre none.
   void Stop() { is_stopping_ = true; }
+  /// Time for which targets may have older weights. @pre none.
+  void set_weights_lifetime(std::chrono::milliseconds lifetime) {
+    weights_lifetime_ = lifetime;
+  }
   /// Whether an order is in progress or this router holds the lease. @pre none.
   bool is_busy() const {
     return !in_progress_.empty() || lease_.IsHeld(BootClock::now());
@@ -42,6 +46,10 @@
   };
 
   std::optional<Work> FindWork() const;
+  // Whether an order to the target can wait for the end of its pause.
+  SendKind OrderKind(const Runner& runner, const std::string& model) const;
+  void NotePause(Runner& runner, const net::Response& answer,
+                 std::string_view kind);
   net::asio::awaitable<void> AcquireLease();
   net::asio::awaitable<void> ReadLease();
   net::asio::awaitable<void> Renew();
@@ -76,6 +84,7 @@
   Peers& peers_;
   std::string host_id_;
   lease::Lease lease_;
+  std::chrono::milliseconds weights_lifetime_{8000};
   bool is_stopping_ = false;
   bool has_read_lease_ = false;
   RuntimeClock::time_point work_since_;
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -332,6 +332,111 @@
   EXPECT_EQ(choice.value().fetch_from, a->entry.address);
 }
 
+// Targets that asked for a pause.
+class PausedTargets : public FleetPlacement {
+ protected:
+  PausedTargets() {
+    for (const char* id : {"a", "b"}) {
+      TargetEntry entry = Entry(id, "s", 7);
+      entry.start_time = 10;
+      entry.address.port = static_cast<std::uint16_t>(id[0]);
+      fleet_.SetTarget(entry);
+    }
+  }
+  TargetPause& PauseOf(const std::string& id) {
+    return fleet_.targets().at(id)->gate->pause();
+  }
+  void Pause(const std::string& id, milliseconds duration) {
+    PauseOf(id).OnRetryAfter(duration, RuntimeClock::now());
+  }
+  std::chrono::nanoseconds TimeToPlace() {
+    return TimeToCapacity(fleet_, "s", RuntimeClock::now());
+  }
+  // Number of requests of `count` that are placed at `id`; refused ones are
+  // placed nowhere.
+  int PlacedAt(const std::string& id, int count) {
+    int placed = 0;
+    for (int i = 0; i < count; ++i) {
+      const auto choice = Choose();
+      placed += choice.ok() && choice.value().runner->entry.id == id ? 1 : 0;
+    }
+    return placed;
+  }
+};
+
+TEST_F(PausedTargets, RequestsGoElsewhereUntilTheEnd) {
+  Pause("a", seconds(2));
+  RuntimeClock::Advance(milliseconds(1999));
+  EXPECT_EQ(PlacedAt("b", 50), 50);
+  EXPECT_EQ(PauseOf("a").passed_over(), 50U);
+}
+
+TEST_F(PausedTargets, PartsAreNotCopiedFromOne) {
+  for (const auto key : PartKeys(request_, CacheSalt(7, nullptr))) {
+    fleet_.targets().at("a")->cache.Touch(key, 400);
+  }
+  tried_.emplace_back("a");
+  EXPECT_TRUE(Choose().value().fetch_from);
+  Pause("a", seconds(2));
+  EXPECT_FALSE(Choose().value().fetch_from);
+}
+
+TEST_F(PausedTargets, IfAllArePausedTheFirstEndIsTold) {
+  Pause("a", seconds(2));
+  Pause("b", seconds(5));
+  const auto refused = Choose();
+  ASSERT_FALSE(refused.ok());
+  EXPECT_EQ(refused.error().id, ErrorId::kOverloaded);
+  EXPECT_EQ(refused.error().verdict, Verdict::kNotRun);
+  EXPECT_EQ(TimeToPlace(), seconds(2));
+}
+
+TEST_F(PausedTargets, TheOnlyOneThatReturnsGetsTrafficByDoublingSteps) {
+  Pause("a", seconds(1));
+  Pause("b", seconds(60));
+  RuntimeClock::Advance(seconds(1));
+  EXPECT_EQ(PlacedAt("a", 100), 2);
+  EXPECT_EQ(TimeToPlace(), TargetPause::kStep);
+  RuntimeClock::Advance(TargetPause::kStep);
+  EXPECT_EQ(PlacedAt("a", 100), 2);
+  RuntimeClock::Advance(TargetPause::kStep * TargetPause::kSteps);
+  EXPECT_EQ(PlacedAt("a", 100), 100);
+}
+
+TEST_F(PausedTargets, ANewIncarnationEndsThePauseAndAHeartbeatDoesNot) {
+  Pause("a", seconds(60));
+  TargetEntry entry = fleet_.targets().at("a")->entry;
+  entry.sequence = 9;
+  entry.address.port = 1;
+  fleet_.SetTarget(entry);
+  fleet_.RemoveTarget("a");
+  fleet_.SetTarget(entry);
+  EXPECT_TRUE(PauseOf("a").IsPaused(RuntimeClock::now()));
+  entry.start_time = 11;
+  fleet_.SetTarget(entry);
+  EXPECT_FALSE(PauseOf("a").IsPaused(RuntimeClock::now()));
+}
+
+TEST_F(PausedTargets, ThePauseAndTheLimitHoldTogether) {
+  const auto now = RuntimeClock::now();
+  for (const auto& [id, runner] : fleet_.targets()) {
+    runner->limit.OnAnswer(1, now, now);
+  }
+  Pause("a", seconds(2));
+  Pause("b", seconds(2));
+  RuntimeClock::Advance(seconds(2));
+  for (int i = 0; i < 10; ++i) {
+    for (const auto& [id, runner] : fleet_.targets()) {
+      if (runner->limit.MaySend(0, RuntimeClock::now())) {
+        runner->limit.CountSent();
+      }
+    }
+  }
+  EXPECT_EQ(Choose().error().id, ErrorId::kOverloaded);
+  EXPECT_GT(TimeToPlace(), seconds(0));
+  EXPECT_LE(TimeToPlace(), seconds(1));
+}
+
 TEST_F(FleetPlacement, SuspectsAreUsedOnlyWhereNoOtherIsLeft) {
   fleet_.SetTarget(Entry("a"));
   fleet_.SetTarget(Entry("b"));
--- a/tests/src/unit-target_gate.cpp
+++ b/tests/src/unit-target_gate.cpp
@@ -33,6 +33,23 @@
   const RuntimeClock::time_point now_ = RuntimeClock::time_point(seconds(100));
 };
 
+TEST_F(TargetGateTest, APausedTargetIsSentNothingButOneUrgentOrder) {
+  gate_.pause().OnRetryAfter(seconds(2), now_);
+  const auto may_send = [&](SendKind kind) {
+    return gate_.MaySend({kind, now_}, now_ + milliseconds(1999));
+  };
+  for (const SendKind kind : kSendKinds) {
+    const bool is_allowed =
+        kind == SendKind::kUrgentOrder || kind == SendKind::kConnectionCheck;
+    EXPECT_EQ(may_send(kind), is_allowed);
+  }
+  gate_.pause().OnUrgentSent();
+  EXPECT_FALSE(may_send(SendKind::kUrgentOrder));
+  for (const SendKind kind : kSendKinds) {
+    EXPECT_TRUE(gate_.MaySend({kind, now_}, now_ + seconds(2)));
+  }
+}
+
 TEST_F(TargetGateTest, AnOpenTargetIsSentEverything) {
   EXPECT_TRUE(gate_.IsOpen());
   for (const SendKind kind : kSendKinds) {
@@ -118,6 +135,7 @@
   const std::multimap<std::string, std::string> askers{
       {"kCachePoll", "cache_follower.cc"},
       {"kOrder", "weights_rollout.cc"},
+      {"kUrgentOrder", "weights_rollout.cc"},
       {"kReport", "weights_rollout.cc"},
       {"kCopySource", "placement.cc"},
       {"kLastResort", "fleet.cc"},
