Tell refused callers when the first target takes a request again

If pauses or limits left no target, a caller was told to return after 0.2 s, or all callers after the same time. `Retry-After` is now the time until the first place, spread by the request's id, and no later than a third of the time that the request has left, which is what callers heed. It has milliseconds, for a third of a short time is lost in tenths of a second.

--- a/src/fleet/fleet_frontend.cc
+++ b/src/fleet/fleet_frontend.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "beryllane/hash/hash.h"
 #include "fmt/format.h"
 #include "src/caller/error_response.h"
 #include "src/telemetry/log.h"
@@ -186,10 +187,12 @@
   if (error.id == ErrorId::kPromptQuarantined) {
     return quarantine_.TimeToTrial(prompt);
   }
-  if (error.id != ErrorId::kOverloaded) return kRetryAfter;
   const std::chrono::nanoseconds to_capacity =
       TimeToCapacity(fleet_, routed.service->name, RuntimeClock::now());
-  return std::max<std::chrono::nanoseconds>(kRetryAfter, to_capacity);
+  if (to_capacity <= std::chrono::nanoseconds(0)) return kRetryAfter;
+  return SpreadRetryAfter(
+      std::max<std::chrono::nanoseconds>(kRetryAfter, to_capacity),
+      routed.TimeLeft(), HashBytes(routed.request.id).low);
 }
 
 awaitable<void> FleetFrontend::Handle(net::Exchange& exchange) {
@@ -283,7 +286,7 @@
   if (status == kUnavailable) {
     const std::chrono::duration<double> seconds = retry_after;
     answer.set(net::http::field::retry_after,
-               fmt::format("{:.1f}", seconds.count()));
+               fmt::format("{:.3f}", seconds.count()));
   }
   (error.verdict == Verdict::kNotRun ? metrics_.refused : metrics_.failed)
       .Add();
