Keep one target serving while others load weights and one is paused

Callers of a service with three runners, of which one asks for a pause while newer weights are named, were refused: the two others loaded at the same time, because the paused one does not count among those that can be ordered. At most all but one of the targets that can be ordered now load together.

--- a/src/fleet/weights_rollout.cc
+++ b/src/fleet/weights_rollout.cc
@@ -205,8 +205,11 @@
     state.running = static_cast<int>(runner->EstimatedLoad(now));
     states.push_back(state);
   }
-  const rollout::RolloutLimits limits{
-      std::max(kMinParallelLoads, states.size() / kTargetsPerParallelLoad)};
+  const std::size_t parallel =
+      std::max(kMinParallelLoads, states.size() / kTargetsPerParallelLoad);
+  // Paused and leaving targets are not in `states`; one of the others serves.
+  const std::size_t most = std::max<std::size_t>(1, states.size() - 1);
+  const rollout::RolloutLimits limits{std::min(parallel, most)};
   for (const std::size_t index :
        rollout::PlanOrders(states, work.version, limits)) {
     const auto& runner = work.runners[index];
