Show with processes that targets in a pause are left alone

Streams, plain services, resumed streams, orders, polls, all targets paused at once, and nonsense in place of a time. The runner stand-in also writes each request that it turns away into its log.

--- a/standins/runner_main.cc
+++ b/standins/runner_main.cc
@@ -261,7 +261,7 @@
           JsonAnswer(is_other_version ? 421 : 503, json::object());
       answer.set("Not-Executed", "1");
       answer.set("Instance-Id", id_);
-      if (is_paused && !is_other_version) AskForPause(answer);
+      if (is_paused && !is_other_version) AskForPause(answer, id);
       co_await Respond(exchange, std::move(answer));
       co_return;
     }
@@ -291,13 +291,16 @@
     }
   }
 
-  void AskForPause(net::Response& answer) {
+  void AskForPause(net::Response& answer, const std::string& id) {
     const auto now = RuntimeClock::now();
     const std::chrono::duration<double> left = faults_.paused_until - now;
     answer.set(net::http::field::retry_after,
                faults_.retry_after.empty() ? fmt::format("{:.3f}", left.count())
                                            : faults_.retry_after);
     ++turned_away_;
+    if (run_log_.is_open()) {
+      Log({{"turned_away", id}, {"born", born_}, {"pause_s", left.count()}});
+    }
     if (!pause_told_at_) pause_told_at_ = now;
   }
 
