Let targets ask for a pause in the soak, and judge what reaches them

The judge counts, for each router and incarnation of a target, the requests that reach the target between half a second after it first turned one away and the end of its pause; more than two break the promise, unless the router was ended or frozen or the link was disturbed meanwhile.

--- a/tests/soak/fault_plan.cc
+++ b/tests/soak/fault_plan.cc
@@ -24,6 +24,7 @@
     "target cuts streams",
     "target ignores orders",
     "target leaves",
+    "target asks for a pause",
     "link to target",
     "link to store",
     "store down",
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -31,6 +31,8 @@
   /// The target announces in its answers that it leaves; replaced by a new
   /// incarnation in the end.
   kTargetLeaves,
+  /// The target turns requests away and asks for a pause.
+  kTargetAsksForPause,
   /// The link to a target.
   kTargetLink,
   /// The link of one router to the store.
@@ -45,7 +47,7 @@
   /// Newer weights are named.
   kNameWeights,
 };
-inline constexpr int kFaultKinds = 21;
+inline constexpr int kFaultKinds = 22;
 
 /// One fault. `index` counts routers or targets, model runners first.
 struct Fault {
--- a/tests/soak/promises.cc
+++ b/tests/soak/promises.cc
@@ -63,6 +63,7 @@
     }
     CheckOrders();
     CheckLeaving();
+    CheckPauses();
     return std::move(broken_);
   }
 
@@ -199,6 +200,43 @@
     }
   }
 
+  bool IsLinkDisturbed(const std::string& target, Instant from,
+                       Instant until) const {
+    return std::any_of(record_.disturbances.begin(), record_.disturbances.end(),
+                       [&](const Disturbance& disturbance) {
+                         return disturbance.link == target &&
+                                disturbance.from <= until &&
+                                disturbance.until >= from;
+                       });
+  }
+
+  // What one router knows of the pause of one incarnation of a target.
+  struct KnownPause {
+    Instant told_at;
+    Instant ends_at;
+    int arrivals = 0;
+  };
+
+  void CheckPauses() {
+    std::map<std::string, int> routers;
+    for (const CallRecord& call : record_.calls) routers[call.id] = call.router;
+    std::map<RouterAndTarget, KnownPause> pauses;
+    for (const TurnedAwayRecord& arrival : record_.turned_away) {
+      const int router = routers[arrival.id];
+      KnownPause& pause = pauses[{router, arrival.target, arrival.start_time}];
+      const bool is_excused =
+          HasBreak(router, pause.told_at, arrival.at) ||
+          IsLinkDisturbed(arrival.target, pause.told_at, arrival.at);
+      if (arrival.at >= pause.ends_at || is_excused) {
+        pause = {arrival.at, arrival.at + arrival.pause, 0};
+      } else if (arrival.at > pause.told_at + bounds_.pause_notice &&
+                 ++pause.arrivals > bounds_.max_arrivals_in_pause) {
+        Report(arrival.id,
+               "reached " + arrival.target + ", which had asked for a pause");
+      }
+    }
+  }
+
   void CheckOrders() {
     std::map<std::uint64_t, std::string> holders;
     std::map<std::string, std::uint64_t> newest;
@@ -238,6 +276,13 @@
                                order.at("fencingToken").get<std::uint64_t>()});
       continue;
     }
+    if (line.contains("turned_away")) {
+      const std::chrono::duration<double> pause(line.at("pause_s"));
+      record.turned_away.push_back(
+          {line["turned_away"], target, line.at("born"), at,
+           std::chrono::duration_cast<std::chrono::nanoseconds>(pause)});
+      continue;
+    }
     const json& headers = line.at("headers");
     record.runs.push_back({line.at("run"), target, at, line.at("path"),
                            line.at("body"), headers.value("Tenant", ""),
--- a/tests/soak/promises.h
+++ b/tests/soak/promises.h
@@ -46,6 +46,19 @@
 struct Disturbance {
   Instant from;
   Instant until;
+  /// The target whose link was disturbed; empty for all else.
+  std::string link;
+};
+
+/// A request that a target turned away, asking for a pause.
+struct TurnedAwayRecord {
+  std::string id;
+  std::string target;
+  /// Start time of the target's process.
+  std::int64_t start_time = 0;
+  Instant at;
+  /// How long the target wanted nothing.
+  std::chrono::nanoseconds pause{0};
 };
 
 /// A moment at which a router was ended, started, frozen or thawed.
@@ -62,6 +75,7 @@
   std::vector<Revocation> revocations;
   std::vector<Disturbance> disturbances;
   std::vector<RouterBreak> router_breaks;
+  std::vector<TurnedAwayRecord> turned_away;
 };
 
 /// Limits of the fleet under test.
@@ -71,6 +85,10 @@
   /// From an announcement of a target's leaving that a router passed on until
   /// no request to that router reaches the target.
   std::chrono::milliseconds drain{2500};
+  /// From a target's answer that asks for a pause until its router knows it.
+  std::chrono::milliseconds pause_notice{500};
+  /// Requests of one router that may reach the target in the rest of a pause.
+  int max_arrivals_in_pause = 2;
   /// How long after a disturbance requests may still fail.
   std::chrono::milliseconds settling{4000};
   /// Targets that one attempt of an idempotent request may run at.
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -173,7 +173,9 @@
   }
   if (!IsPlannedWork(fault.kind)) {
     const Instant now = steady_clock::now();
-    record_.disturbances.push_back({now - fault.lasts - kTick, now});
+    const bool is_link = fault.kind == FaultKind::kTargetLink;
+    record_.disturbances.push_back(
+        {now - fault.lasts - kTick, now, is_link ? TargetOf(fault).name : ""});
   }
 }
 
@@ -198,6 +200,9 @@
     case FaultKind::kTargetLeaves:
       change["leaving"] = is_on;
       break;
+    case FaultKind::kTargetAsksForPause:
+      change["pause_ms"] = is_on ? fault.lasts.count() : 0;
+      break;
     default:
       break;
   }
--- a/tests/src/unit-soak.cpp
+++ b/tests/src/unit-soak.cpp
@@ -176,6 +176,29 @@
   EXPECT_EQ(Broken(), 0U);
 }
 
+TEST_F(SoakJudge, FindsRequestsThatReachATargetInItsPause) {
+  const auto arrive = [&](milliseconds after) {
+    record_.turned_away.push_back(
+        {kId, "desk-1", 7, call_.sent_at + after, milliseconds(3000) - after});
+  };
+  for (const int after : {0, 400, 500, 600, 700, 3000}) {
+    arrive(milliseconds(after));
+  }
+  EXPECT_EQ(Broken(), 0U);
+  arrive(milliseconds(800));
+  std::swap(record_.turned_away[5], record_.turned_away[6]);
+  EXPECT_EQ(Broken(), 1U);
+  record_.router_breaks.push_back(
+      {call_.router, call_.sent_at + milliseconds(650)});
+  EXPECT_EQ(Broken(), 0U);
+  record_.router_breaks.clear();
+  record_.disturbances.push_back(
+      {call_.sent_at, call_.sent_at + milliseconds(800), "desk-1"});
+  EXPECT_EQ(Broken(), 0U);
+  record_.disturbances.back().link = "desk-0";
+  EXPECT_EQ(Broken(), 1U);
+}
+
 TEST(FaultPlan, OneSeedGivesOnePlanAndOthersGiveOthers) {
   const PlanShape shape;
   const auto plan = DrawPlan(1, shape);
