Refuse binary messages whose sizes the JSON library throws on

A message of a peer or of the log with a size beyond all memory ended the process that read it. Cause: the JSON library throws out_of_range.408 also when told not to throw. Why it works: whatever the library throws on bytes is an unreadable message.

--- a/src/coordination/claim_record.cc
+++ b/src/coordination/claim_record.cc
@@ -103,11 +103,10 @@
 }
 
 std::optional<std::vector<Entry>> DecodeBatch(std::string_view data) {
-  const json entries = json::from_cbor(data, /*strict=*/true,
-                                       /*allow_exceptions=*/false);
-  if (!entries.is_array()) return std::nullopt;
   std::vector<Entry> batch;
   try {
+    const json entries = json::from_cbor(data);
+    if (!entries.is_array()) return std::nullopt;
     for (const json& entry : entries) batch.push_back(DecodeEntry(entry));
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -298,7 +298,12 @@
 }
 
 void Peers::Receive(const std::string& message) {
-  const json body = json::from_msgpack(message, true, false);
+  json body;
+  try {
+    body = json::from_msgpack(message);
+  } catch (const json::exception&) {
+    return;
+  }
   if (!body.is_object()) return;
   const auto find = [this](const json& hash) {
     return fleet_.FindByHash(hash.get<std::uint64_t>());
--- a/src/platform/log_client.cc
+++ b/src/platform/log_client.cc
@@ -138,9 +138,8 @@
     failures_.Add();
     co_return StatusError(path_, status);
   }
-  const json body =
-      json::from_cbor(response.value().body(), /*strict=*/true, false);
   try {
+    const json body = json::from_cbor(response.value().body());
     LogPage page = DecodePage(body);
     co_return page;
   } catch (const json::exception& e) {
--- a/src/wire/messages.cc
+++ b/src/wire/messages.cc
@@ -132,8 +132,8 @@
 }
 
 std::optional<PeerRequest> DecodeRequest(std::string_view data) {
-  const json message = json::from_cbor(data, /*strict=*/true, false);
   try {
+    const json message = json::from_cbor(data);
     if (!message.is_array()) return std::nullopt;
     return DecodeTagged(message);
   } catch (const json::exception&) {
@@ -150,8 +150,8 @@
 
 std::optional<claim::ClaimAnswer> DecodeClaimAnswer(std::string_view data) {
   constexpr int kMaxStatus = static_cast<int>(claim::ClaimStatus::kUnavailable);
-  const json message = json::from_cbor(data, /*strict=*/true, false);
   try {
+    const json message = json::from_cbor(data);
     const int status = message.at(0).get<int>();
     if (status < 0 || status > kMaxStatus) return std::nullopt;
     claim::ClaimAnswer answer;
--- a/tests/src/unit-process_parts.cpp
+++ b/tests/src/unit-process_parts.cpp
@@ -115,6 +115,14 @@
 }
 
 // Any bytes from a peer are a message or are refused.
+// The library throws on such a size also when told not to.
+TEST(PeerMessages, ASizeBeyondAllMemoryIsRefused) {
+  const std::string bytes("\x9b\xff\xff\xff\xff\xff\xff\xff\xff", 9);
+  EXPECT_EQ(wire::DecodeRequest(bytes), std::nullopt);
+  EXPECT_EQ(wire::DecodeClaimAnswer(bytes), std::nullopt);
+  EXPECT_EQ(claim::DecodeBatch(bytes), std::nullopt);
+}
+
 RC_GTEST_PROP(PeerMessagesProperty, AnyBytesAreJudged, ()) {
   wire::StateExchange exchange;
   exchange.sender = "r";
