--- a/src/fleet/pause_record.cc
+++ b/src/fleet/pause_record.cc
@@ -26,6 +26,7 @@
     fields["text"] = answer.invalid_pause;
     telemetry::Log(Level::kWarning, telemetry::event::kPauseInvalid,
                    std::move(fields));
+    return;
   }
   if (!answer.pause) return;
   const auto now = RuntimeClock::now();
--- a/src/fleet/weights_rollout.cc
+++ b/src/fleet/weights_rollout.cc
@@ -228,7 +228,9 @@
   const bool needs_report =
       !runner->order_count && MaySend(*runner, SendKind::kReport);
   auto progress = OrderProgress::kIdle;
-  if (needs_report) progress = co_await ReadReport(*runner, model);
+  if (needs_report) {
+    progress = co_await ReadReport(*runner, model);
+  }
   // An order whose answer was lost is sent again once the target's report shows
   // that it is not in progress. The expected order count prevents the target
   // from executing both.
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -86,12 +86,7 @@
     throw std::runtime_error("the store stand-in did not start");
   }
   Put("keyed.op", "config", FirstConfig());
-  for (int i = 0; i < kRunners; ++i) {
-    runner_ports_.push_back(FreeAddress());
-    runner_controls_.push_back(FreeAddress());
-    runners_.emplace_back();
-    StartRunner(i);
-  }
+  for (int i = 0; i < kRunners; ++i) AddRunner();
   for (int i = 0; i < kDesks; ++i) {
     desk_ports_.push_back(FreeAddress());
     desk_controls_.push_back(FreeAddress());
@@ -138,13 +133,23 @@
   return arguments;
 }
 
+int PlatformFleet::AddRunner() {
+  const int index = static_cast<int>(runners_.size());
+  runner_ports_.push_back(FreeAddress());
+  runner_controls_.push_back(FreeAddress());
+  runners_.emplace_back();
+  StartRunner(index);
+  return index;
+}
+
 void PlatformFleet::StartRunner(int i) {
   const std::string id = fmt::format("runner-{}", i);
   std::vector<std::string> arguments = TargetArguments(id, runner_ports_[i]);
-  arguments.insert(
-      arguments.end(),
-      {"--control_listen", net::ToString(runner_controls_[i]), "--service",
-       "scribe", "--zone", kZones[i], "--model", kModel});
+  arguments.insert(arguments.end(),
+                   {"--control_listen", net::ToString(runner_controls_[i]),
+                    "--service", "scribe", "--zone",
+                    kZones[static_cast<std::size_t>(i) % std::size(kZones)],
+                    "--model", kModel});
   runners_[i] = Process(BERYLLANE_RUNNER, arguments,
                         fmt::format("{}/{}.log", directory_, id));
 }
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -44,7 +44,7 @@
   nlohmann::json ControlStore(const nlohmann::json& change) const {
     return ControlAt(store_control_, change);
   }
-  /// Changes a model runner's faults; what it saw. @pre `i` < kRunners.
+  /// Changes a model runner's faults; what it saw. @pre runner `i` was started.
   nlohmann::json ControlRunner(int i, const nlohmann::json& change) const {
     return ControlAt(runner_controls_[i], change);
   }
@@ -54,7 +54,7 @@
   }
   /// Runs of one request at all targets together. @pre none.
   int RunsOf(const std::string& request_id) const;
-  /// Runs of all requests at one model runner. @pre `i` < kRunners.
+  /// Runs of all requests at one model runner. @pre runner `i` was started.
   int RunsAtRunner(int i) const;
 
   /// Sends a request of a caller. @pre none.
@@ -78,6 +78,8 @@
   double Metric(int router, const std::string& prefix) const;
   /// Starts a router, again if it was ended. @pre none.
   void StartRouter(int i);
+  /// Starts a further model runner; its index. @pre none.
+  int AddRunner();
   /// Starts a model runner again under its id. @pre it was ended.
   void StartRunner(int i);
   /// Starts a plain service again under its id. @pre it was ended.
