Count the drain timeout of listed targets from the store's confirmation

What callers saw: nothing; found while reading the merged parts. As a last resort, a target that the list shows as draining was used until the drain timeout after this router's own reading of the list, which comes up to 1.5 s after the confirmation. Change: the longest lag of the list is taken off. TheListBoundsTheArrival holds 400 ms after the reading instead of 1900 ms, which is stricter.

--- a/src/fleet/target_gate.cc
+++ b/src/fleet/target_gate.cc
@@ -7,6 +7,9 @@
 
 // The clock of a caller that counts differently, over the drain timeout.
 constexpr milliseconds kStartMargin{100};
+// The list is read within this time of the store's confirmation, from which
+// the drain timeout counts.
+constexpr milliseconds kListLag{1500};
 // A request that was sent reaches its target within this time.
 constexpr milliseconds kFlightMargin{600};
 
@@ -41,7 +44,8 @@
   if (left_at_ && sending.started > last_start()) return false;
   // The list bounds the arrival and not the start of a request.
   const auto may_arrive = [&](const auto& listed_at) {
-    return !listed_at || now + kFlightMargin < *listed_at + drain_timeout_;
+    return !listed_at ||
+           now + kListLag + kFlightMargin < *listed_at + drain_timeout_;
   };
   return may_arrive(draining_at_) && may_arrive(unlisted_at_);
 }
--- a/tests/src/unit-target_gate.cpp
+++ b/tests/src/unit-target_gate.cpp
@@ -88,9 +88,9 @@
 TEST_F(TargetGateTest, TheListBoundsTheArrival) {
   gate_.OnListedDraining(now_);
   EXPECT_FALSE(gate_.IsOpen());
-  EXPECT_TRUE(MayStart(milliseconds(1899)));
+  EXPECT_TRUE(MayStart(milliseconds(399)));
   EXPECT_FALSE(
-      gate_.MaySend({SendKind::kLastResort, now_}, now_ + milliseconds(1900)));
+      gate_.MaySend({SendKind::kLastResort, now_}, now_ + milliseconds(400)));
 }
 
 TEST_F(TargetGateTest, AReturnToTheListDoesNotUndoAnAnnouncement) {
