--- a/tests/src/process-ten_targets.cpp
+++ b/tests/src/process-ten_targets.cpp
@@ -36,6 +36,7 @@
   int AskMany(const std::string& phase) const {
     std::atomic<int> answered{0};
     std::vector<std::thread> callers;
+    callers.reserve(kCallers);
     for (int caller = 0; caller < kCallers; ++caller) {
       callers.emplace_back([&, caller] {
         for (int n = 0; n < kRequests; ++n) {
@@ -57,6 +58,7 @@
   json Seen(int i) const { return fleet_.ControlRunner(i, json::object()); }
   std::vector<int> RunsAtLeaving() const {
     std::vector<int> runs;
+    runs.reserve(kLeaving.size());
     for (const int i : kLeaving) runs.push_back(fleet_.RunsAtRunner(i));
     return runs;
   }
