--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -248,7 +248,7 @@
 
   const PausedClock paused_;
   Fleet fleet_;
-  PlacementSettings placement_settings_{"za", "ra", {{"za", "ra"}}};
+  PlacementSettings placement_settings_{"za", "ra", {{"za", "ra"}}, {}};
   Service service_;
   platform::CallerRequest request_;
   std::vector<std::string> tried_;
--- a/tests/src/unit-soak.cpp
+++ b/tests/src/unit-soak.cpp
@@ -99,7 +99,7 @@
   MakeStream(3);
   call_.body += call_.body;
   call_.end = CallEnd::kClosed;
-  record_.disturbances.push_back({call_.sent_at, call_.ended_at});
+  record_.disturbances.push_back({call_.sent_at, call_.ended_at, ""});
   EXPECT_EQ(Broken(), 1U);
 }
 
@@ -131,8 +131,8 @@
   call_.status = 0;
   EXPECT_EQ(Broken(), 1U);
   EXPECT_EQ(Broken(0), 0U);
-  record_.disturbances.push_back(
-      {call_.sent_at - milliseconds(3000), call_.sent_at - milliseconds(2000)});
+  record_.disturbances.push_back({call_.sent_at - milliseconds(3000),
+                                  call_.sent_at - milliseconds(2000), ""});
   EXPECT_EQ(Broken(), 0U);
 }
 
