Let the test of hints wait until the routers hear each other

Leaving.PeersHearOfIt failed once in a run beside load: the second router sent 40 requests to the target that had announced its leaving to the first. A hint is sent once, and this one was sent 0.1 s after the routers' start, before the second had connected to the first. That a lost hint costs requests until the router's own sight is by design.

Change: the gauge beryllane_fleet_rank, which is also the order in which routers try to get the lease, shows that a router is heard; the test waits for it and holds the same as before.

--- a/src/fleet/fleet_node.cc
+++ b/src/fleet/fleet_node.cc
@@ -138,6 +138,10 @@
   metrics_.AddCallbackGauge("beryllane_targets", "Targets on the list", [this] {
     return static_cast<double>(fleet_.targets().size());
   });
+  metrics_.AddCallbackGauge(
+      "beryllane_fleet_rank",
+      "Routers with a smaller host id that this router hears",
+      [this] { return static_cast<double>(peers_.Rank()); });
   metrics_.AddCallbackGauge(
       "beryllane_fleet_limited_targets", "Targets that name a rate limit",
       [this] {
--- a/tests/src/process-leaving.cpp
+++ b/tests/src/process-leaving.cpp
@@ -89,6 +89,8 @@
 }
 
 TEST_F(Leaving, PeersHearOfIt) {
+  ASSERT_TRUE(Eventually(
+      [&] { return fleet_.Metric(1, "beryllane_fleet_rank") == 1; }));
   fleet_.ControlDesk(0, {{"leaving", true}});
   ASSERT_TRUE(SendUntilSeen(0));
   fleet_.ControlDesk(0, {{"leaving", false}});
