--- /dev/null
+++ b/bench/fleet.cc
@@ -0,0 +1,86 @@
+// Costs of a router's control work by the size of the fleet.
+#include <benchmark/benchmark.h>
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "fmt/format.h"
+#include "src/fleet/fleet.h"
+#include "src/fleet/peers.h"
+#include "src/fleet/placement.h"
+
+namespace beryllane::fleet {
+namespace {
+
+constexpr int kPeers = 75;
+constexpr int kZones = 6;
+constexpr const char* kService = "scribe";
+constexpr const char* kModel = "model";
+
+TargetEntry MakeEntry(int index) {
+  TargetEntry entry;
+  entry.id = fmt::format("target-{:04}", index);
+  entry.service = kService;
+  entry.address = {"10.0.0.1", 80};
+  entry.availability_zone = fmt::format("zone-{}", index % kZones);
+  entry.slots = 12;
+  entry.weights[kModel] = 1;
+  return entry;
+}
+
+std::string PeerName(int peer) { return fmt::format("router-{:03}", peer); }
+
+// A service of model runners as each router sees it, with loads of all peers.
+struct BenchFleet {
+  BenchFleet(int targets, double limited_share) {
+    service.name = kService;
+    service.engine = EngineProperties{90000, 327680, 200000, 12};
+    settings.availability_zone = "zone-0";
+    settings.region = "region-0";
+    for (int zone = 0; zone < kZones; ++zone) {
+      settings.region_of_zone[fmt::format("zone-{}", zone)] =
+          fmt::format("region-{}", zone / 2);
+    }
+    request.model = kModel;
+    request.prompt_tokens = 9190;
+    request.parts = {{"aa", 4000}, {"bb", 1800}, {"cc", 500}, {"dd", 2890}};
+    fleet.set_live_peers(kPeers);
+    const auto now = RuntimeClock::now();
+    for (int i = 0; i < targets; ++i) {
+      fleet.SetTarget(MakeEntry(i));
+      Runner& runner = *fleet.targets().rbegin()->second;
+      for (int peer = 0; peer < kPeers; ++peer) {
+        runner.peer_loads[PeerName(peer)] = {1, 100, now};
+      }
+      const bool is_limited = i < limited_share * targets;
+      // A limit that was named just now leaves no request.
+      if (is_limited) runner.limit.OnAnswer(1, now, now);
+    }
+  }
+
+  Fleet fleet;
+  Service service;
+  PlacementSettings settings;
+  platform::CallerRequest request;
+  std::vector<std::string> tried;
+};
+
+// Arguments: number of targets, percentage of them that are at their limits.
+void BM_ChooseTarget(benchmark::State& state) {
+  constexpr double kPercent = 100;
+  BenchFleet bench(static_cast<int>(state.range(0)),
+                   static_cast<double>(state.range(1)) / kPercent);
+  const auto now = RuntimeClock::now();
+  const PlacementInput input{bench.service, nullptr, bench.request,
+                             bench.tried,   now,     true};
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(
+        ChooseTarget(bench.fleet, bench.settings, input, now));
+  }
+}
+BENCHMARK(BM_ChooseTarget)
+    ->ArgsProduct({{12, 70, 140, 600}, {0, 90, 100}})
+    ->Unit(benchmark::kMicrosecond);
+
+}  // namespace
+}  // namespace beryllane::fleet
