Keep running sums of the loads that peers report

Callers: where a choice is slow, the host's loop is, and deadlines and closes are noticed late.

Cause: the load of a target was added up over all peers each time that it was asked for: twice a choice for each target, over 75 peers, with a tree node for each pair. More than half of a choice with no limited target was this sum.

Evidence: BM_ChooseTarget/140/0, 75 peers known: 328 us of processor time before.

Change: ExpiringSum keeps the sum, and takes out what has expired as it is asked for.

--- a/bench/fleet.cc
+++ b/bench/fleet.cc
@@ -1,11 +1,12 @@
 // Costs of a router's control work by the size of the fleet.
+#include "src/fleet/fleet.h"
+
 #include <benchmark/benchmark.h>
 
 #include <nlohmann/json.hpp>
 #include <string>
 
 #include "fmt/format.h"
-#include "src/fleet/fleet.h"
 #include "src/fleet/peers.h"
 #include "src/fleet/placement.h"
 
@@ -28,8 +29,6 @@
   return entry;
 }
 
-std::string PeerName(int peer) { return fmt::format("router-{:03}", peer); }
-
 // A service of model runners as each router sees it, with loads of all peers.
 struct BenchFleet {
   BenchFleet(int targets, double limited_share) {
@@ -50,7 +49,9 @@
       fleet.SetTarget(MakeEntry(i));
       Runner& runner = *fleet.targets().rbegin()->second;
       for (int peer = 0; peer < kPeers; ++peer) {
-        runner.peer_loads[PeerName(peer)] = {1, 100, now};
+        runner.peer_running.Set(static_cast<std::uint32_t>(peer), 1, now);
+        runner.peer_prefill_tokens.Set(static_cast<std::uint32_t>(peer), 100,
+                                       now);
       }
       const bool is_limited = i < limited_share * targets;
       // A limit that was named just now leaves no request.
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -17,10 +17,6 @@
 constexpr int kMaxDoublings = 3;
 // Half-life of the load that a target reported for other routers' requests.
 constexpr double kReportHalfLifeMs = 400;
-// A load reported by a peer is valid until the peer's next report, but no
-// longer than this.
-constexpr milliseconds kPeerLoadLifetime{3000};
-constexpr milliseconds kPeerPrefillLifetime{1000};
 // Maximum time by which the list of targets lags behind the versions seen in
 // answers and orders: a heartbeat interval, its delay and the read interval.
 // Afterwards the list is authoritative: a version that it does not show came
@@ -64,11 +60,8 @@
   });
 }
 
-double Runner::EstimatedLoad(RuntimeClock::time_point now) const {
-  double running = 0;
-  for (const auto& [peer, load] : peer_loads) {
-    if (now - load.received_at < kPeerLoadLifetime) running += load.running;
-  }
+double Runner::EstimatedLoad(RuntimeClock::time_point now) {
+  const auto running = static_cast<double>(peer_running.Total(now));
   const double others =
       std::max<double>(0, reported_running - own_running_at_report);
   const double age_ms =
@@ -77,14 +70,9 @@
          std::max(running, others * std::exp2(-age_ms / kReportHalfLifeMs));
 }
 
-double Runner::PendingPrefillTokens(RuntimeClock::time_point now) const {
-  auto tokens = static_cast<double>(own_pending_prefill_tokens);
-  for (const auto& [peer, load] : peer_loads) {
-    if (now - load.received_at < kPeerPrefillLifetime) {
-      tokens += static_cast<double>(load.pending_prefill_tokens);
-    }
-  }
-  return tokens;
+double Runner::PendingPrefillTokens(RuntimeClock::time_point now) {
+  return static_cast<double>(own_pending_prefill_tokens) +
+         static_cast<double>(peer_prefill_tokens.Total(now));
 }
 
 void Runner::RecordLoad(int running, int waiting,
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -16,6 +16,7 @@
 
 #include "beryllane/clock/boot_clock.h"
 #include "beryllane/clock/runtime_clock.h"
+#include "beryllane/limit/expiring_sum.h"
 #include "beryllane/limit/retry_window.h"
 #include "beryllane/limit/shared_limit.h"
 #include "platform/request_codec.h"
@@ -42,14 +43,14 @@
   int reported_running = 0;
   int own_running_at_report = 0;
   RuntimeClock::time_point reported_at;
-  /// Load that another router reported for its own requests at the target.
-  struct PeerLoad {
-    int running = 0;
-    std::uint64_t pending_prefill_tokens = 0;
-    RuntimeClock::time_point received_at;
-  };
-  /// Keyed by the host id of the router.
-  std::map<std::string, PeerLoad> peer_loads;
+  /// A load reported by a peer is valid until the peer's next report, but no
+  /// longer than this.
+  static constexpr std::chrono::milliseconds kPeerLoadLifetime{3000};
+  static constexpr std::chrono::milliseconds kPeerPrefillLifetime{1000};
+  /// What the other routers reported for their own requests at the target: the
+  /// requests that run, and the prompt tokens that wait for prefill.
+  ExpiringSum<std::int64_t> peer_running{kPeerLoadLifetime};
+  ExpiringSum<std::int64_t> peer_prefill_tokens{kPeerPrefillLifetime};
   /// Number of orders that the target has accepted, if a report stated it.
   std::optional<std::uint64_t> order_count;
   /// When this router last received anything from the target.
@@ -93,10 +94,10 @@
   void DropOldReports(RuntimeClock::time_point now);
   /// Estimated number of requests that run or are queued at the target. @pre
   /// none.
-  double EstimatedLoad(RuntimeClock::time_point now) const;
+  double EstimatedLoad(RuntimeClock::time_point now);
   /// Estimated number of prompt tokens that wait for prefill at the target.
   /// @pre none.
-  double PendingPrefillTokens(RuntimeClock::time_point now) const;
+  double PendingPrefillTokens(RuntimeClock::time_point now);
   /// Records the load reported with an answer. @pre none.
   void RecordLoad(int running, int waiting, RuntimeClock::time_point now);
   /// Marks the target as suspect because it did not answer. Each further
--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -333,7 +333,9 @@
     const json& from = body.at(kSender);
     const std::string sender = from.at(0);
     known_hosts_.insert(sender);
-    Router& router = routers_[sender];
+    const auto [known, is_new] = routers_.try_emplace(sender);
+    Router& router = known->second;
+    if (is_new) router.index = static_cast<std::uint32_t>(routers_.size());
     router.availability_zone = from.at(1);
     router.relay_address = from.at(2);
     router.registration_offset = from.at(3);
@@ -341,7 +343,8 @@
     for (const json& load : body.value(kLoads, json::array())) {
       Runner* runner = find(load.at(0));
       if (runner == nullptr) continue;
-      runner->peer_loads[sender] = {load.at(1), load.at(2), now};
+      runner->peer_running.Set(router.index, load.at(1), now);
+      runner->peer_prefill_tokens.Set(router.index, load.at(2), now);
     }
     for (const json& part : body.value(kParts, json::array())) {
       Runner* runner = find(part.at(0));
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -100,6 +100,8 @@
   static constexpr std::chrono::milliseconds kRouterTimeout{1500};
   // State of another router.
   struct Router {
+    // Identifies the router in the sums of what the peers report.
+    std::uint32_t index = 0;
     std::string availability_zone;
     std::string relay_address;
     // Offset of its registration record in the store.
