Find the source of a copy without comparing all pairs of targets

Cause: for each target the policy looked for the best source among all others, and sorted the targets with two hashes a comparison: n squared, and more than a millisecond at 600 targets.

Change: only the targets that hold the most of the prompt can be sources; the first of each zone in the order of preference is kept, and scores are computed once. A property test compares the result with a comparison of all pairs.

--- a/src/coordination/prefix_policy.cc
+++ b/src/coordination/prefix_policy.cc
@@ -27,25 +27,82 @@
   return factor * bits / (query.link_mbps * kBitsPerMsPerMbps);
 }
 
-}  // namespace
+// The candidates that are known to hold the most of the prompt, by location.
+// Copies come from the nearest of them.
+class CopySources {
+ public:
+  // `ranked` holds indexes of `candidates` in the order of preference.
+  CopySources(const std::vector<PrefixCandidate>& candidates,
+              const std::vector<std::size_t>& ranked)
+      : candidates_(candidates) {
+    for (const std::size_t index : ranked) Add(index);
+  }
 
-PrefixDecision ChooseByPrefix(const std::vector<PrefixCandidate>& candidates,
-                              const PrefixQuery& query,
-                              const PrefixWeights& weights) {
+  std::uint32_t most_held() const { return most_held_; }
+  // The source for a candidate; none if no other is known to hold more.
+  std::optional<std::size_t> For(const PrefixCandidate& candidate) const {
+    if (candidate.held_tokens >= most_held_) return std::nullopt;
+    std::optional<std::size_t> nearest;
+    double factor = 0;
+    for (const std::size_t holder : holders_) {
+      const double own = CopyTimeFactor(candidate, candidates_[holder]);
+      if (nearest && own >= factor) continue;
+      nearest = holder;
+      factor = own;
+    }
+    return nearest;
+  }
+
+ private:
+  void Add(std::size_t index) {
+    const PrefixCandidate& candidate = candidates_[index];
+    if (candidate.held_tokens < most_held_) return;
+    if (candidate.held_tokens > most_held_) {
+      most_held_ = candidate.held_tokens;
+      holders_.clear();
+    }
+    const bool is_known =
+        std::any_of(holders_.begin(), holders_.end(), [&](std::size_t holder) {
+          return candidates_[holder].zone == candidate.zone &&
+                 candidates_[holder].region == candidate.region;
+        });
+    if (!is_known) holders_.push_back(index);
+  }
+
+  const std::vector<PrefixCandidate>& candidates_;
+  std::uint32_t most_held_ = 0;
+  // The first holder in the order of preference of each zone.
+  std::vector<std::size_t> holders_;
+};
+
+// Indexes of the candidates, the preferred runner of the key first.
+std::vector<std::size_t> RankByRendezvous(
+    const std::vector<PrefixCandidate>& candidates, const Hash128& key) {
+  std::vector<std::uint64_t> scores(candidates.size());
+  std::transform(candidates.begin(), candidates.end(), scores.begin(),
+                 [&key](const PrefixCandidate& candidate) {
+                   return RendezvousScore(key, candidate.id_hash);
+                 });
   std::vector<std::size_t> ranked(candidates.size());
   std::iota(ranked.begin(), ranked.end(), 0);
   std::sort(ranked.begin(), ranked.end(), [&](std::size_t a, std::size_t b) {
-    return RendezvousScore(query.rendezvous_key, candidates[a].id_hash) >
-           RendezvousScore(query.rendezvous_key, candidates[b].id_hash);
+    return scores[a] > scores[b];
   });
-  std::uint32_t most_held = 0;
-  for (const auto& candidate : candidates) {
-    most_held = std::max(most_held, candidate.held_tokens);
-  }
+  return ranked;
+}
+
+}  // namespace
+
+PrefixDecision ChooseByPrefix(const std::vector<PrefixCandidate>& candidates,
+                              const PrefixQuery& query,
+                              const PrefixWeights& weights) {
+  const std::vector<std::size_t> ranked =
+      RankByRendezvous(candidates, query.rendezvous_key);
+  const CopySources sources(candidates, ranked);
   const auto assumed_held = [&](std::size_t rank) {
     const PrefixCandidate& candidate = candidates[ranked[rank]];
-    return rank == 0 && most_held == 0 ? query.shared_tokens
-                                       : candidate.held_tokens;
+    return rank == 0 && sources.most_held() == 0 ? query.shared_tokens
+                                                 : candidate.held_tokens;
   };
   PrefixDecision best;
   bool has_best = false;
@@ -63,27 +120,14 @@
     // The source of a copy is the nearest of the candidates that are known to
     // hold the most. The preferred runner is the source only if no candidate
     // is known to hold more than this one.
-    std::optional<std::size_t> source;
-    double source_held = candidate.held_tokens;
-    double source_factor = 0;
-    for (std::size_t other = 0; other < ranked.size(); ++other) {
-      if (other == rank) continue;
-      const double held = candidates[ranked[other]].held_tokens;
-      const double factor =
-          CopyTimeFactor(candidate, candidates[ranked[other]]);
-      const bool is_better =
-          held > source_held ||
-          (source && held == source_held && factor < source_factor);
-      if (!is_better) continue;
-      source = ranked[other];
-      source_held = held;
-      source_factor = factor;
-    }
+    std::optional<std::size_t> source = sources.For(candidate);
+    double source_held = source ? sources.most_held() : candidate.held_tokens;
     if (!source && rank > 0 && query.shared_tokens > source_held) {
       source = ranked[0];
       source_held = query.shared_tokens;
-      source_factor = CopyTimeFactor(candidate, candidates[ranked[0]]);
     }
+    const double source_factor =
+        source ? CopyTimeFactor(candidate, candidates[*source]) : 0;
     const double assumed = assumed_held(rank);
     const double missing = query.shared_tokens - assumed;
     if (missing > 0) {
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -7,6 +7,7 @@
 #include "beryllane/freshness/freshness.h"
 #include "beryllane/limit/retry_window.h"
 #include "beryllane/placement/prefix_policy.h"
+#include "beryllane/placement/rendezvous.h"
 #include "beryllane/rollout/planner.h"
 #include "src/fleet/event_relay.h"
 #include "src/fleet/fleet.h"
@@ -773,6 +774,50 @@
   EXPECT_EQ(moved.fetch_from, home);
 }
 
+// The source of a copy by a comparison of all pairs.
+std::optional<std::size_t> NearestFullestHolder(
+    const std::vector<placement::PrefixCandidate>& candidates,
+    const Hash128& key, std::size_t chosen) {
+  const auto precedes = [&](std::size_t a, std::size_t b) {
+    const auto rank = [&](std::size_t i) {
+      const auto& candidate = candidates[i];
+      const auto& target = candidates[chosen];
+      const int distance = candidate.zone == target.zone       ? 0
+                           : candidate.region == target.region ? 1
+                                                               : 2;
+      return std::make_tuple(
+          -static_cast<std::int64_t>(candidate.held_tokens), distance,
+          ~placement::RendezvousScore(key, candidate.id_hash));
+    };
+    return rank(a) < rank(b);
+  };
+  std::optional<std::size_t> best;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    if (candidates[i].held_tokens <= candidates[chosen].held_tokens) continue;
+    if (!best || precedes(i, *best)) best = i;
+  }
+  return best;
+}
+
+RC_GTEST_PROP(PrefixPolicy, CopiesComeFromTheNearestOfTheFullestHolders, ()) {
+  placement::PrefixQuery query;
+  query.rendezvous_key = {*rc::gen::inRange<std::uint64_t>(0, 1000), 1};
+  query.shared_tokens = 300;
+  std::vector<placement::PrefixCandidate> candidates(
+      *rc::gen::inRange<std::size_t>(1, 12));
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    candidates[i].id_hash = i + 1;
+    candidates[i].zone = *rc::gen::inRange<std::uint32_t>(0, 4);
+    candidates[i].region = candidates[i].zone / 2;
+    candidates[i].held_tokens = 100 * *rc::gen::inRange<std::uint32_t>(0, 4);
+    candidates[i].wait = milliseconds(*rc::gen::inRange(0, 300));
+  }
+  const auto decision = placement::ChooseByPrefix(candidates, query, {});
+  const auto expected =
+      NearestFullestHolder(candidates, query.rendezvous_key, decision.index);
+  if (expected) RC_ASSERT(decision.fetch_from == expected);
+}
+
 TEST(RefusalNaming, ARefusalWithoutANameIsAProofOnlyAsAFirstAnswer) {
   EXPECT_TRUE(RefusalNaming::IsProof(true, true));
   EXPECT_TRUE(RefusalNaming::IsProof(true, false));
