Choose among limited targets in one pass

Cause: ChooseTarget chose the cheapest target, found it at its limit, put it on the list of tried ones and began anew. Each limited target cost one more pass over all others, with a comparison of names for each pair: the cube of the number of targets. Where all are limited, one choice took a small host longer than the time between two requests, and each refused request came back.

Change: limits are asked once for each target, and the policy passes over those that are held back in the pass that finds the cheapest. Demand is counted, as before, at each target that costs less and is ruled out by its limit. If no healthy target can take the request, the suspect ones are tried, then those that leave; weights that are too old no longer end the search before that.

--- a/include/beryllane/placement/prefix_policy.h
+++ b/include/beryllane/placement/prefix_policy.h
@@ -37,6 +37,9 @@
   std::chrono::duration<double, std::milli> stale_weights_penalty{};
   /// Whether it may be chosen; otherwise it only serves as a source of copies.
   bool is_eligible = true;
+  /// Whether an eligible runner cannot take the request now. It is passed over
+  /// if it has the lowest cost.
+  bool is_held_back = false;
 };
 
 /// Properties of the request's prompt.
@@ -76,13 +79,17 @@
   std::optional<std::size_t> fetch_from;
   /// Cost of the chosen candidate.
   std::chrono::duration<double, std::milli> cost{};
+  /// Indexes of the candidates that are held back and cost less.
+  std::vector<std::size_t> passed_over;
 };
 
-/// Chooses the eligible candidate with the lowest cost. The candidate that
+/// Chooses the eligible candidate with the lowest cost that is not held back.
+/// The candidate that
 /// rendezvous hashing ranks first is the preferred runner of the deepest shared
 /// part. If no candidate is known to hold any of the prompt, the preferred
 /// runner is assumed to hold it, because all routers send it there. @pre one of
-/// `candidates` is eligible. Thread-safe. Complexity: n squared.
+/// `candidates` is eligible and not held back. Thread-safe. Complexity: n log n
+/// plus n times the number of zones.
 PrefixDecision ChooseByPrefix(const std::vector<PrefixCandidate>& candidates,
                               const PrefixQuery& query,
                               const PrefixWeights& weights);
--- a/src/coordination/prefix_policy.cc
+++ b/src/coordination/prefix_policy.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <utility>
 
 #include "beryllane/placement/rendezvous.h"
 
@@ -106,6 +107,7 @@
   };
   PrefixDecision best;
   bool has_best = false;
+  std::vector<std::pair<double, std::size_t>> held_back;
   for (std::size_t rank = 0; rank < ranked.size(); ++rank) {
     const PrefixCandidate& candidate = candidates[ranked[rank]];
     if (!candidate.is_eligible) continue;
@@ -145,12 +147,19 @@
       const double cost_factor = rank == 0 ? weights.preferred_cost_factor : 1;
       cost += cost_factor * std::min(prefill_cost, copy_cost);
     }
+    if (candidate.is_held_back) {
+      held_back.emplace_back(cost, ranked[rank]);
+      continue;
+    }
     if (has_best && cost >= best.cost.count()) continue;
     has_best = true;
     best.index = ranked[rank];
     best.cost = Millis(cost);
     best.fetch_from = source;
   }
+  for (const auto& [cost, index] : held_back) {
+    if (cost < best.cost.count()) best.passed_over.push_back(index);
+  }
   // A preferred runner that is not known to hold the part fetches it from the
   // next in rank, which was preferred while this one was unavailable. A fetch
   // that finds nothing costs little.
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -1,6 +1,7 @@
 #include "src/fleet/placement.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "beryllane/placement/prefix_policy.h"
@@ -36,58 +37,89 @@
 // runner.
 constexpr milliseconds kMaxSendDelay{150};
 
-std::string RegionOf(const PlacementSettings& settings,
-                     const std::string& zone) {
-  const auto it = settings.region_of_zone.find(zone);
-  return it == settings.region_of_zone.end() ? zone : it->second;
-}
-
-Distance DistanceTo(const PlacementSettings& settings,
-                    const std::string& zone) {
-  if (zone == settings.availability_zone) return Distance::kSameZone;
-  return RegionOf(settings, zone) == settings.region ? Distance::kSameRegion
-                                                     : Distance::kOtherRegion;
-}
+using Runners = std::vector<std::shared_ptr<Runner>>;
 
 std::uint32_t ShortHash(const std::string& text) {
   return static_cast<std::uint32_t>(HashBytes(text).low);
 }
 
-// The targets that can take the request now: the healthy ones, or the suspect
-// ones if there is no other.
-std::vector<std::shared_ptr<Runner>> SelectEligible(
-    std::vector<std::shared_ptr<Runner>> targets, const PlacementInput& input,
-    RuntimeClock::time_point now) {
-  std::vector<std::shared_ptr<Runner>> healthy;
-  std::vector<std::shared_ptr<Runner>> suspects;
+// The locations of targets as the router sees them. A zone is looked up once.
+class Locations {
+ public:
+  struct Location {
+    Distance distance = Distance::kSameZone;
+    std::uint32_t zone = 0;
+    std::uint32_t region = 0;
+  };
+
+  explicit Locations(const PlacementSettings& settings) : settings_(settings) {}
+
+  const Location& Of(const Runner& runner) {
+    const std::string& zone = runner.entry.availability_zone;
+    const auto known =
+        std::find_if(known_.begin(), known_.end(),
+                     [&](const auto& entry) { return entry.first == zone; });
+    if (known != known_.end()) return known->second;
+    return known_.emplace_back(zone, Find(zone)).second;
+  }
+
+ private:
+  Location Find(const std::string& zone) const {
+    const auto listed = settings_.region_of_zone.find(zone);
+    const std::string& region =
+        listed == settings_.region_of_zone.end() ? zone : listed->second;
+    Location location;
+    location.zone = ShortHash(zone);
+    location.region = ShortHash(region);
+    if (zone != settings_.availability_zone) {
+      location.distance = region == settings_.region ? Distance::kSameRegion
+                                                     : Distance::kOtherRegion;
+    }
+    return location;
+  }
+
+  const PlacementSettings& settings_;
+  std::vector<std::pair<std::string, Location>> known_;
+};
+
+// The targets that a request may go to, by preference: a tier is used only if
+// no target of an earlier one can take the request.
+struct Tier {
+  Runners targets;
+  // Parallel to `targets`: whether its limit rules the target out now.
+  std::vector<bool> is_limited;
+
+  bool is_usable() const {
+    return std::find(is_limited.begin(), is_limited.end(), false) !=
+           is_limited.end();
+  }
+};
+
+// Splits targets into the healthy and the suspect ones.
+std::array<Tier, 2> SplitSuspects(Runners targets, const Fleet& fleet,
+                                  const PlacementInput& input,
+                                  RuntimeClock::time_point now) {
+  std::array<Tier, 2> tiers;
   for (auto& runner : targets) {
     const auto& tried = input.tried;
     const bool was_tried =
         std::find(tried.begin(), tried.end(), runner->entry.id) != tried.end();
     const bool may_place = runner->gate->pause().MayPlace(now);
     if (was_tried || !may_place || runner->switching_until > now) continue;
-    auto& group = runner->suspect_until > now ? suspects : healthy;
-    group.push_back(std::move(runner));
+    Tier& tier = tiers[runner->suspect_until > now ? 1 : 0];
+    tier.is_limited.push_back(
+        !runner->limit.MaySend(fleet.live_peers(), now, input.is_large));
+    tier.targets.push_back(std::move(runner));
   }
-  return healthy.empty() ? suspects : healthy;
-}
-
-// Leaving targets are eligible only if there is no other.
-std::vector<std::shared_ptr<Runner>> Eligible(const Fleet& fleet,
-                                              const PlacementInput& input,
-                                              RuntimeClock::time_point now) {
-  const std::string& service = input.service.name;
-  auto eligible = SelectEligible(fleet.AvailableTargets(service), input, now);
-  if (!eligible.empty()) return eligible;
-  return SelectEligible(fleet.LastResorts(service, input.started), input, now);
+  return tiers;
 }
 
 // Targets of earlier attempts from which cached parts can still be copied: most
 // of them refused only because they are full.
-std::vector<std::shared_ptr<Runner>> TriedSources(
-    const Fleet& fleet, const PlacementInput& input, std::uint64_t version,
-    RuntimeClock::time_point now) {
-  std::vector<std::shared_ptr<Runner>> sources;
+Runners TriedSources(const Fleet& fleet, const PlacementInput& input,
+                     std::uint64_t version, RuntimeClock::time_point now) {
+  Runners sources;
+  if (input.tried.empty()) return sources;
   for (auto& runner : fleet.AvailableTargets(input.service.name)) {
     const auto& tried = input.tried;
     const bool was_tried =
@@ -100,25 +132,40 @@
   return sources;
 }
 
-PlacementDecision ChooseForService(
-    const std::vector<std::shared_ptr<Runner>>& runners,
-    const PlacementSettings& settings, RuntimeClock::time_point now) {
-  PlacementDecision best;
-  for (const auto& runner : runners) {
+// A choice, and the targets that cost less and are at their limits.
+struct Choice {
+  PlacementDecision decision;
+  Runners passed_over;
+};
+
+Choice ChooseForService(const Tier& tier, const PlacementSettings& settings,
+                        RuntimeClock::time_point now) {
+  Choice choice;
+  PlacementDecision& best = choice.decision;
+  Locations locations(settings);
+  std::vector<std::pair<double, std::shared_ptr<Runner>>> limited;
+  for (std::size_t i = 0; i < tier.targets.size(); ++i) {
+    const std::shared_ptr<Runner>& runner = tier.targets[i];
     const double queued = runner->EstimatedLoad(now) + 1 - runner->entry.slots;
     double cost = std::max(0.0, queued) * kServiceWaitMsPerQueued +
                   runner->EstimatedLoad(now);
-    if (DistanceTo(settings, runner->entry.availability_zone) ==
-        Distance::kOtherRegion) {
+    if (locations.Of(*runner).distance == Distance::kOtherRegion) {
       cost += kServiceOtherRegionCostMs;
     }
     if (runner->full_until > now) cost += kFullPenalty.count();
+    if (tier.is_limited[i]) {
+      limited.emplace_back(cost, runner);
+      continue;
+    }
     if (best.runner && cost >= best.cost_ms) continue;
     best.runner = runner;
     best.cost_ms = cost;
   }
-  best.candidates = runners.size();
-  return best;
+  best.candidates = tier.targets.size();
+  for (auto& [cost, runner] : limited) {
+    if (cost < best.cost_ms) choice.passed_over.push_back(std::move(runner));
+  }
+  return choice;
 }
 
 // Keys of the prompt, common to all runners with one weights version.
@@ -143,22 +190,20 @@
 }
 
 // The runner from which parts are copied; null if there is none.
-std::shared_ptr<Runner> SourceOf(
-    const placement::PrefixDecision& decision,
-    const std::vector<std::shared_ptr<Runner>>& runners,
-    RuntimeClock::time_point now) {
+std::shared_ptr<Runner> SourceOf(const placement::PrefixDecision& decision,
+                                 const Runners& runners,
+                                 RuntimeClock::time_point now) {
   if (!decision.fetch_from) return nullptr;
   const auto& source = runners[*decision.fetch_from];
   const bool may_copy = source->gate->MaySend({SendKind::kCopySource}, now);
   return may_copy ? source : nullptr;
 }
 
-PlacementDecision ChooseForEngine(const Fleet& fleet,
-                                  const PlacementSettings& settings,
-                                  const PlacementInput& input,
-                                  std::vector<std::shared_ptr<Runner>> runners,
-                                  std::uint64_t version,
-                                  RuntimeClock::time_point now) {
+// @pre a target of `group` is not limited.
+Choice ChooseForEngine(const Fleet& fleet, const PlacementSettings& settings,
+                       const PlacementInput& input, Tier group,
+                       std::uint64_t version, RuntimeClock::time_point now) {
+  Runners& runners = group.targets;
   const std::size_t eligible = runners.size();
   for (auto& source : TriedSources(fleet, input, version, now)) {
     runners.push_back(std::move(source));
@@ -177,6 +222,8 @@
     query.shared_tokens += parts[i].tokens;
   }
   std::vector<placement::PrefixCandidate> candidates;
+  candidates.reserve(runners.size());
+  Locations locations(settings);
   for (const auto& runner : runners) {
     placement::PrefixCandidate candidate;
     candidate.id_hash = runner->id_hash;
@@ -189,17 +236,23 @@
          ++i) {
       candidate.held_tokens += parts[i].tokens;
     }
-    candidate.distance = DistanceTo(settings, runner->entry.availability_zone);
-    candidate.zone = ShortHash(runner->entry.availability_zone);
-    candidate.region =
-        ShortHash(RegionOf(settings, runner->entry.availability_zone));
+    const Locations::Location& location = locations.Of(*runner);
+    candidate.distance = location.distance;
+    candidate.zone = location.zone;
+    candidate.region = location.region;
     candidate.is_eligible = candidates.size() < eligible;
+    candidate.is_held_back =
+        candidate.is_eligible && group.is_limited[candidates.size()];
     if (lag > kPenaltyFreeLag) candidate.stale_weights_penalty = kStalePenalty;
     candidates.push_back(candidate);
   }
   const placement::PrefixDecision decision =
       placement::ChooseByPrefix(candidates, query, weights);
-  PlacementDecision choice;
+  Choice chosen;
+  for (const std::size_t index : decision.passed_over) {
+    chosen.passed_over.push_back(runners[index]);
+  }
+  PlacementDecision& choice = chosen.decision;
   choice.runner = runners[decision.index];
   const std::shared_ptr<Runner> source = SourceOf(decision, runners, now);
   if (source) choice.fetch_from = source->entry.address;
@@ -220,7 +273,7 @@
     choice.not_before = std::max(choice.not_before, holder.ReadyAt(key));
   }
   choice.not_before = std::min(choice.not_before, now + kMaxSendDelay);
-  return choice;
+  return chosen;
 }
 
 // Counts the request at the targets that pauses keep from taking it; returns
@@ -257,41 +310,109 @@
   return BootClock::now() + duration_cast<milliseconds>(wait) < *deadline;
 }
 
-Result<PlacementDecision> ChooseByCost(const Fleet& fleet,
-                                       const PlacementSettings& settings,
-                                       const PlacementInput& input,
-                                       RuntimeClock::time_point now) {
-  const auto runners = Eligible(fleet, input, now);
-  if (runners.empty()) return NoTarget(input);
-  if (!input.service.engine) return ChooseForService(runners, settings, now);
-  // Runners are compared with those that have the same weights version; the
-  // version whose best runner has the lowest cost is used.
-  std::map<std::uint64_t, std::vector<std::shared_ptr<Runner>>> by_version;
-  for (const auto& runner : runners) {
-    by_version[runner->VersionOf(input.request.model)].push_back(runner);
+// Groups the targets by weights version, without those at which the run would
+// begin too late on their weights.
+std::map<std::uint64_t, Tier> GroupByVersion(const Tier& tier,
+                                             const DesiredWeightsState& desired,
+                                             const PlacementSettings& settings,
+                                             const std::string& model) {
+  std::map<std::uint64_t, Tier> groups;
+  for (std::size_t i = 0; i < tier.targets.size(); ++i) {
+    const auto& runner = tier.targets[i];
+    if (!WillStartInTime(desired, *runner, model, settings.weights)) continue;
+    Tier& group = groups[runner->VersionOf(model)];
+    group.targets.push_back(runner);
+    group.is_limited.push_back(tier.is_limited[i]);
   }
-  const DesiredWeightsState desired =
-      fleet.DesiredWeightsOf(input.request.model);
-  const std::uint64_t newest = by_version.rbegin()->first;
-  std::optional<PlacementDecision> best;
-  for (auto it = by_version.rbegin(); it != by_version.rend(); ++it) {
+  return groups;
+}
+
+// Runners are compared with those that have the same weights version; the
+// version whose best runner has the lowest cost is used.
+std::optional<Choice> ChooseByVersion(const Fleet& fleet,
+                                      const PlacementSettings& settings,
+                                      const PlacementInput& input,
+                                      const Tier& tier,
+                                      RuntimeClock::time_point now) {
+  const std::string& model = input.request.model;
+  const DesiredWeightsState desired = fleet.DesiredWeightsOf(model);
+  auto groups = GroupByVersion(tier, desired, settings, model);
+  std::optional<Choice> best;
+  std::uint64_t newest = 0;
+  Runners limited;
+  for (auto it = groups.rbegin(); it != groups.rend(); ++it) {
+    auto& [version, group] = *it;
     // If the deadline is a guess, older weights serve only until a target has
     // newer ones.
     const bool is_replaced =
-        it->first < newest && newest >= desired.version() &&
-        desired.IsNamingUncertain(it->first, settings.weights);
+        best && newest >= desired.version() &&
+        desired.IsNamingUncertain(version, settings.weights);
     if (is_replaced) continue;
-    std::erase_if(it->second, [&](const auto& runner) {
-      return !WillStartInTime(desired, *runner, input.request.model,
-                              settings.weights);
-    });
-    if (it->second.empty()) continue;
-    PlacementDecision choice =
-        ChooseForEngine(fleet, settings, input, it->second, it->first, now);
-    if (!best || choice.cost_ms < best->cost_ms) best = std::move(choice);
+    if (!group.is_usable()) {
+      limited.insert(limited.end(), group.targets.begin(), group.targets.end());
+      continue;
+    }
+    if (!best) newest = version;
+    Choice choice =
+        ChooseForEngine(fleet, settings, input, std::move(group), version, now);
+    limited.insert(limited.end(), choice.passed_over.begin(),
+                   choice.passed_over.end());
+    const bool is_better =
+        !best || choice.decision.cost_ms < best->decision.cost_ms;
+    if (is_better) best = std::move(choice);
+  }
+  if (best) best->passed_over = std::move(limited);
+  return best;
+}
+
+// The choice in a tier; none if it has no target that can take the request.
+std::optional<Choice> ChooseInTier(const Fleet& fleet,
+                                   const PlacementSettings& settings,
+                                   const PlacementInput& input,
+                                   const Tier& tier,
+                                   RuntimeClock::time_point now) {
+  std::optional<Choice> choice;
+  if (tier.is_usable()) {
+    choice = input.service.engine
+                 ? ChooseByVersion(fleet, settings, input, tier, now)
+                 : ChooseForService(tier, settings, now);
+  }
+  if (choice) {
+    for (const auto& runner : choice->passed_over) {
+      runner->limit.CountDemand(now);
+    }
+    return choice;
+  }
+  for (std::size_t i = 0; i < tier.targets.size(); ++i) {
+    if (tier.is_limited[i]) tier.targets[i]->limit.CountDemand(now);
   }
-  if (!best) return NoTarget(input);
-  return std::move(*best);
+  return choice;
+}
+
+// Chooses among the healthy targets, the suspect ones or, last, those that
+// leave. Sets whether a limit ruled a target out.
+std::optional<PlacementDecision> ChooseByCost(const Fleet& fleet,
+                                              const PlacementSettings& settings,
+                                              const PlacementInput& input,
+                                              RuntimeClock::time_point now,
+                                              bool& has_limited) {
+  const std::string& service = input.service.name;
+  for (const bool is_last_resort : {false, true}) {
+    auto targets = is_last_resort ? fleet.LastResorts(service, input.started)
+                                  : fleet.AvailableTargets(service);
+    for (const Tier& tier :
+         SplitSuspects(std::move(targets), fleet, input, now)) {
+      auto choice = ChooseInTier(fleet, settings, input, tier, now);
+      if (choice) {
+        choice->decision.is_last_resort = is_last_resort;
+        return std::move(choice->decision);
+      }
+      has_limited = has_limited ||
+                    std::find(tier.is_limited.begin(), tier.is_limited.end(),
+                              true) != tier.is_limited.end();
+    }
+  }
+  return std::nullopt;
 }
 
 }  // namespace
@@ -319,34 +440,23 @@
                                        const PlacementSettings& settings,
                                        const PlacementInput& input,
                                        RuntimeClock::time_point now) {
-  // Targets whose limits rule them out may still be copied from, like those
-  // that were tried.
-  std::vector<std::string> ruled_out = input.tried;
-  for (;;) {
-    const PlacementInput rest{input.service, input.account, input.request,
-                              ruled_out,     input.started, input.is_large};
-    auto choice = ChooseByCost(fleet, settings, rest, now);
-    if (!choice.ok()) {
-      const bool is_held_back =
-          ruled_out.size() > input.tried.size() ||
-          TimeToCapacity(fleet, input.service.name, now) > nanoseconds(0);
-      if (!is_held_back) return choice;
-      return Error{ErrorId::kOverloaded,
-                   fmt::format("the targets of service {} are at the limits "
-                               "that they named, or asked for a pause",
-                               input.service.name),
-                   Verdict::kNotRun};
-    }
-    Runner& runner = *choice.value().runner;
-    choice.value().is_last_resort = !runner.gate->IsOpen();
-    runner.limit.CountDemand(now);
-    if (runner.limit.MaySend(fleet.live_peers(), now, input.is_large)) {
-      choice.value().paused = CountPassedOver(fleet, input.service.name, now);
-      runner.gate->pause().OnPlaced(now);
-      return choice;
-    }
-    ruled_out.push_back(runner.entry.id);
+  bool has_limited = false;
+  auto choice = ChooseByCost(fleet, settings, input, now, has_limited);
+  if (choice) {
+    choice->runner->limit.CountDemand(now);
+    choice->paused = CountPassedOver(fleet, input.service.name, now);
+    choice->runner->gate->pause().OnPlaced(now);
+    return std::move(*choice);
   }
+  const bool is_held_back =
+      has_limited ||
+      TimeToCapacity(fleet, input.service.name, now) > nanoseconds(0);
+  if (!is_held_back) return NoTarget(input);
+  return Error{ErrorId::kOverloaded,
+               fmt::format("the targets of service {} are at the limits "
+                           "that they named, or asked for a pause",
+                           input.service.name),
+               Verdict::kNotRun};
 }
 
 std::chrono::nanoseconds TimeToCapacity(const Fleet& fleet,
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -492,6 +492,37 @@
   EXPECT_EQ(Choose().value().runner->entry.id, "limited");
 }
 
+TEST_F(FleetPlacement, DemandIsCountedAtEachTargetThatALimitRulesOut) {
+  for (const char* id : {"a", "b", "c", "d"}) fleet_.SetTarget(Entry(id));
+  const auto now = RuntimeClock::now();
+  const auto targets = fleet_.AvailableTargets("s");
+  for (std::size_t i = 0; i + 1 < targets.size(); ++i) {
+    targets[i]->limit.OnAnswer(1, now, now);
+  }
+  // The last target costs the most and is the only one without a limit.
+  targets.back()->RecordLoad(500, 0, now);
+  const auto choice = Choose();
+  ASSERT_TRUE(choice.ok());
+  EXPECT_EQ(choice.value().runner, targets.back());
+  EXPECT_EQ(choice.value().candidates, targets.size());
+  for (const auto& target : targets) {
+    EXPECT_GT(target->limit.Demand(now), 0);
+  }
+}
+
+TEST_F(FleetPlacement, ALimitedTargetThatCostsMoreGetsNoDemand) {
+  fleet_.SetTarget(Entry("a"));
+  fleet_.SetTarget(Entry("b"));
+  const auto now = RuntimeClock::now();
+  const auto targets = fleet_.AvailableTargets("s");
+  targets[1]->limit.OnAnswer(1, now, now);
+  targets[1]->RecordLoad(500, 0, now);
+  const auto choice = Choose();
+  ASSERT_TRUE(choice.ok());
+  EXPECT_EQ(choice.value().runner, targets[0]);
+  EXPECT_EQ(targets[1]->limit.Demand(now), 0);
+}
+
 TEST_F(FleetPlacement, SaltsSeparateVersionsAndIsolatedAccounts) {
   Account open{"t1", {}, {}, false};
   Account isolated{"t2", {}, {}, true};
