Do not touch every target for each message of a peer

Cause: each batch of a peer marked the peer as idle at every target, limited or not. With 74 peers and some hundred messages a second this grew with hosts x targets. Batches also listed all limited targets each time that they carried a hint about a prompt part, several times a second.

Change: PeerActivity remembers when each peer last reported, and a limited target asks it how many have reported since its limit came into force. Reports of limits go out every 400 ms; three of them fit into their lifetime. A message about one limit is no longer taken for a report of all. SharedLimit counts what peers list in an ExpiringSum.

The test AnIdlePeerLeavesItsShare tells the same through the new interface; two more hold the report to the time of the limit and to its lifetime.

--- a/bench/fleet.cc
+++ b/bench/fleet.cc
@@ -43,7 +43,7 @@
     request.model = kModel;
     request.prompt_tokens = 9190;
     request.parts = {{"aa", 4000}, {"bb", 1800}, {"cc", 500}, {"dd", 2890}};
-    fleet.set_live_peers(kPeers);
+    fleet.peer_activity().set_live(kPeers);
     const auto now = RuntimeClock::now();
     for (int i = 0; i < targets; ++i) {
       fleet.SetTarget(MakeEntry(i));
@@ -83,5 +83,34 @@
     ->ArgsProduct({{12, 70, 140, 600}, {0, 90, 100}})
     ->Unit(benchmark::kMicrosecond);
 
+// A message as routers exchange it in traffic without limits: the loads of ten
+// targets, and six prompt parts. Argument: number of targets.
+void BM_ReceiveBatch(benchmark::State& state) {
+  BenchFleet bench(static_cast<int>(state.range(0)), 0);
+  net::asio::io_context loop;
+  MetricRegistry metrics;
+  net::HttpClient client(loop);
+  platform::StoreClient store(client, {"127.0.0.1", 1}, metrics);
+  Peers sender(loop, store, bench.fleet,
+               {"router-000", "zone-0", "10.0.0.1:7340", "10.0.0.1:7341"},
+               metrics);
+  constexpr int kLoads = 10;
+  constexpr int kParts = 6;
+  int changed = 0;
+  for (const auto& [id, runner] : bench.fleet.targets()) {
+    if (++changed > kLoads) break;
+    runner->own_running = changed;
+    if (changed <= kParts) {
+      sender.NotePart(*runner, static_cast<std::uint64_t>(changed), 4000);
+    }
+  }
+  const std::string message = sender.EncodeBatch();
+  Peers receiver(loop, store, bench.fleet,
+                 {"router-001", "zone-1", "10.0.0.2:7340", "10.0.0.2:7341"},
+                 metrics);
+  for (auto _ : state) receiver.Receive(message);
+}
+BENCHMARK(BM_ReceiveBatch)->Arg(140)->Arg(1400)->Unit(benchmark::kMicrosecond);
+
 }  // namespace
 }  // namespace beryllane::fleet
--- a/include/beryllane/limit/shared_limit.h
+++ b/include/beryllane/limit/shared_limit.h
@@ -5,10 +5,10 @@
 
 #include <chrono>
 #include <cstdint>
-#include <map>
-#include <string>
 
 #include "beryllane/clock/runtime_clock.h"
+#include "beryllane/limit/expiring_sum.h"
+#include "beryllane/limit/peer_activity.h"
 
 namespace beryllane {
 
@@ -52,15 +52,11 @@
   /// the limit was set, lifted or changed. @pre none.
   bool OnAnswer(double per_second, RuntimeClock::time_point sent_at,
                 RuntimeClock::time_point now);
-  /// Another host reported the limit, negative if it is lifted, and its own
+  /// Peer `peer` reported the limit, negative if it is lifted, and its own
   /// demand. @pre none.
-  void OnPeerReport(const std::string& host, double per_second, double demand,
+  void OnPeerReport(std::uint32_t peer, double per_second, double demand,
                     RuntimeClock::time_point now);
 
-  /// Another host sent a report that does not list the target: its demand is
-  /// negligible. @pre none.
-  void OnPeerIdle(const std::string& host, RuntimeClock::time_point now);
-
   /// Whether a limit is in force. @pre none.
   bool is_set() const { return per_second_ >= 0; }
   /// The limit in requests per second of all hosts. @pre `is_set()`.
@@ -71,38 +67,36 @@
   double Demand(RuntimeClock::time_point now) const {
     return demand_.PerSecond(now);
   }
-  /// This host's share in requests per second; `live_peers` is the number of
-  /// other hosts. @pre `is_set()`.
-  double Share(int live_peers, RuntimeClock::time_point now) const;
+  /// This host's share in requests per second. A peer that has sent a report
+  /// since the limit was set, and none that lists the target, has no demand.
+  /// @pre `is_set()`.
+  double Share(const PeerActivity& peers, RuntimeClock::time_point now);
   /// Whether a request may be sent now; one that is not large has to leave the
   /// reserve. @pre none.
-  bool MaySend(int live_peers, RuntimeClock::time_point now,
+  bool MaySend(const PeerActivity& peers, RuntimeClock::time_point now,
                bool is_large = true);
   /// Counts a request that is sent. @pre none.
   void CountSent() { tokens_ -= is_set() ? 1 : 0; }
   /// Time until a large request may be sent; zero if one may be sent now. @pre
   /// none.
-  std::chrono::nanoseconds TimeToSend(int live_peers,
+  std::chrono::nanoseconds TimeToSend(const PeerActivity& peers,
                                       RuntimeClock::time_point now);
 
  private:
-  struct PeerDemand {
-    double per_second = 0;
-    RuntimeClock::time_point received_at;
-  };
-
   void Set(double per_second, RuntimeClock::time_point now);
   void Lift();
-  void Refill(int live_peers, RuntimeClock::time_point now);
+  void Refill(const PeerActivity& peers, RuntimeClock::time_point now);
 
   // Negative if there is no limit.
   double per_second_ = -1;
+  // When the limit came into force.
+  RuntimeClock::time_point set_at_;
   // When the limit was last named, by an answer to this host or by a peer.
   RuntimeClock::time_point named_at_;
   // When an answer to this host last named it.
   RuntimeClock::time_point answered_at_;
   DecayingRate demand_;
-  std::map<std::string, PeerDemand> peer_demands_;
+  ExpiringSum<double> peer_demands_{kReportLifetime};
   double tokens_ = 0;
   RuntimeClock::time_point refilled_at_;
 };
--- a/src/coordination/shared_limit.cc
+++ b/src/coordination/shared_limit.cc
@@ -40,25 +40,21 @@
   return per_second_ != before;
 }
 
-void SharedLimit::OnPeerReport(const std::string& host, double per_second,
+void SharedLimit::OnPeerReport(std::uint32_t peer, double per_second,
                                double demand, RuntimeClock::time_point now) {
   if (per_second < 0) {
     if (is_set()) Lift();
     return;
   }
-  peer_demands_[host] = {std::max(demand, kIdleDemandPerSecond), now};
+  peer_demands_.Set(peer, std::max(demand, kIdleDemandPerSecond), now);
   const bool is_outdated = now - answered_at_ < kPeerLag;
   if (!is_outdated) Set(per_second, now);
 }
 
-void SharedLimit::OnPeerIdle(const std::string& host,
-                             RuntimeClock::time_point now) {
-  if (is_set()) peer_demands_[host] = {kIdleDemandPerSecond, now};
-}
-
 void SharedLimit::Set(double per_second, RuntimeClock::time_point now) {
   if (!is_set()) {
     tokens_ = 0;
+    set_at_ = now;
     refilled_at_ = now;
   }
   per_second_ = std::max(per_second, kMinPerSecond);
@@ -67,40 +63,41 @@
 
 void SharedLimit::Lift() {
   per_second_ = -1;
-  peer_demands_.clear();
+  peer_demands_.Clear();
 }
 
-double SharedLimit::Share(int live_peers, RuntimeClock::time_point now) const {
+double SharedLimit::Share(const PeerActivity& peers,
+                          RuntimeClock::time_point now) {
   const double own = std::max(Demand(now), kIdleDemandPerSecond);
-  double sum = own;
-  int unknown_peers = live_peers;
-  for (const auto& [host, demand] : peer_demands_) {
-    if (now - demand.received_at >= kReportLifetime) continue;
-    sum += demand.per_second;
-    --unknown_peers;
-  }
-  sum += std::max(0, unknown_peers) * own;
+  const auto listed = static_cast<int>(peer_demands_.Count(now));
+  const auto oldest = now - kReportLifetime + std::chrono::nanoseconds(1);
+  const int reporting = peers.CountReportsSince(std::max(set_at_, oldest));
+  const int idle = std::max(0, reporting - listed);
+  const int unknown = std::max(0, peers.live() - listed - idle);
+  const double sum = own + peer_demands_.Total(now) +
+                     idle * kIdleDemandPerSecond + unknown * own;
   return per_second_ * own / sum;
 }
 
-bool SharedLimit::MaySend(int live_peers, RuntimeClock::time_point now,
-                          bool is_large) {
+bool SharedLimit::MaySend(const PeerActivity& peers,
+                          RuntimeClock::time_point now, bool is_large) {
   if (!is_set()) return true;
-  Refill(live_peers, now);
+  Refill(peers, now);
   return tokens_ >= (is_large ? 1 : 1 + kReserve);
 }
 
-std::chrono::nanoseconds SharedLimit::TimeToSend(int live_peers,
+std::chrono::nanoseconds SharedLimit::TimeToSend(const PeerActivity& peers,
                                                  RuntimeClock::time_point now) {
   if (!is_set()) return std::chrono::nanoseconds(0);
-  Refill(live_peers, now);
+  Refill(peers, now);
   const double missing = std::max(0.0, 1 - tokens_);
-  const std::chrono::duration<double> wait(missing / Share(live_peers, now));
+  const std::chrono::duration<double> wait(missing / Share(peers, now));
   return std::chrono::duration_cast<std::chrono::nanoseconds>(wait);
 }
 
-void SharedLimit::Refill(int live_peers, RuntimeClock::time_point now) {
-  const double share = Share(live_peers, now);
+void SharedLimit::Refill(const PeerActivity& peers,
+                         RuntimeClock::time_point now) {
+  const double share = Share(peers, now);
   const double capacity = std::max(1.0, share * Seconds(kBurst)) + kReserve;
   tokens_ = std::min(capacity, tokens_ + share * Seconds(now - refilled_at_));
   refilled_at_ = now;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -17,6 +17,7 @@
 #include "beryllane/clock/boot_clock.h"
 #include "beryllane/clock/runtime_clock.h"
 #include "beryllane/limit/expiring_sum.h"
+#include "beryllane/limit/peer_activity.h"
 #include "beryllane/limit/retry_window.h"
 #include "beryllane/limit/shared_limit.h"
 #include "platform/request_codec.h"
@@ -165,9 +166,9 @@
   /// is at least the mean. @pre `work` >= 0, in any unit.
   bool AddWork(const std::string& service, double work);
 
-  /// Number of other routers that send requests to the targets. @pre none.
-  int live_peers() const { return live_peers_; }
-  void set_live_peers(int count) { live_peers_ = count; }
+  /// The other routers that send requests to the targets. @pre none.
+  PeerActivity& peer_activity() { return peer_activity_; }
+  const PeerActivity& peer_activity() const { return peer_activity_; }
 
   /// Sets the desired weights of a model, read now; returns false if the
   /// version is not newer. `complete_until` as in `DesiredWeightsState::Add`.
@@ -221,7 +222,7 @@
   LeavingHandler on_leaving_;
   std::map<std::string, RetryWindow> budgets_;
   PartCache shared_parts_;
-  int live_peers_ = 0;
+  PeerActivity peer_activity_;
   std::map<std::string, double> mean_work_;
   RetryWindowOptions retry_options_;
   PauseCounts pause_counts_;
--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -29,6 +29,8 @@
 // hint before then, so that requests for the same parts go to the same runner.
 constexpr milliseconds kPartInterval{20};
 constexpr milliseconds kRegisterBackoff{500};
+// Interval of reports of limits; several fit into their lifetime.
+constexpr milliseconds kLimitInterval{400};
 // An empty batch is sent after this time; well below `kRouterTimeout`.
 constexpr milliseconds kHeartbeatInterval{500};
 // Time after which a reader that failed is selected again.
@@ -44,8 +46,10 @@
 constexpr const char* kLease = "e";
 constexpr const char* kLimits = "m";
 constexpr const char* kLeaving = "g";
-// Demand in requests per second below which a batch does not list a target.
+// Demand in requests per second below which a report does not list a target.
 constexpr double kMinReportedDemand = 0.05;
+// Whether a message names a single limit and is no report of all.
+constexpr bool kIsOneLimit = true;
 // Limit that stands for none.
 constexpr double kNoLimit = -1;
 // A router that was heard from within this time may still send requests to
@@ -81,7 +85,7 @@
         std::max(kPartInterval, routers * kPartIntervalPerRouter));
     const auto interval = std::clamp(routers * kBatchIntervalPerRouter,
                                      kBatchInterval, kMaxBatchInterval);
-    fleet_.set_live_peers(LivePeers());
+    fleet_.peer_activity().set_live(LivePeers());
     const bool is_due = RuntimeClock::now() - sent_at_ >= interval;
     if (is_due || !new_parts_.empty()) SendBatch();
   }
@@ -183,7 +187,7 @@
 }
 
 void Peers::AnnounceLimit(const Runner& runner) {
-  Broadcast(kLimits, {self_.host_id, {LimitReport(runner)}});
+  Broadcast(kLimits, {self_.host_id, {LimitReport(runner)}, kIsOneLimit});
 }
 
 void Peers::AnnounceLeaving(const Runner& runner) {
@@ -205,22 +209,40 @@
           limit.Demand(RuntimeClock::now())};
 }
 
+bool Peers::HasLimits() const {
+  const auto& targets = fleet_.targets();
+  return std::any_of(targets.begin(), targets.end(), [](const auto& target) {
+    return target.second->limit.is_set();
+  });
+}
+
+json Peers::LimitReports() const {
+  const auto now = RuntimeClock::now();
+  json limits = json::array();
+  for (const auto& [id, runner] : fleet_.targets()) {
+    const bool is_listed = runner->limit.is_set() &&
+                           runner->limit.Demand(now) >= kMinReportedDemand;
+    if (is_listed) limits.push_back(LimitReport(*runner));
+  }
+  return limits;
+}
+
 void Peers::ReceiveLimits(const json& reports) {
   const auto now = RuntimeClock::now();
-  const std::string host = reports.at(0);
+  const std::uint32_t peer = RouterOf(reports.at(0)).index;
   for (const json& report : reports.at(1)) {
     Runner* runner = fleet_.FindByHash(report.at(0).get<std::uint64_t>());
     if (runner == nullptr) continue;
-    runner->limit.OnPeerReport(host, report.at(1), report.at(2), now);
+    runner->limit.OnPeerReport(peer, report.at(1), report.at(2), now);
   }
+  const bool is_one = reports.size() > 2 && reports.at(2) == kIsOneLimit;
+  if (!is_one) fleet_.peer_activity().OnReport(peer, now);
 }
 
-// A batch lists the limited targets for which its sender has demand.
-void Peers::MarkIdle(const std::string& host) {
-  const auto now = RuntimeClock::now();
-  for (const auto& [id, runner] : fleet_.targets()) {
-    runner->limit.OnPeerIdle(host, now);
-  }
+Peers::Router& Peers::RouterOf(const std::string& host) {
+  const auto [known, is_new] = routers_.try_emplace(host);
+  if (is_new) known->second.index = static_cast<std::uint32_t>(routers_.size());
+  return known->second;
 }
 
 int Peers::LivePeers() const {
@@ -262,7 +284,7 @@
   }
 }
 
-void Peers::SendBatch() {
+std::string Peers::EncodeBatch() {
   json loads = json::array();
   for (const auto& [id, runner] : fleet_.targets()) {
     const std::pair<int, std::uint64_t> load{
@@ -273,14 +295,8 @@
     loads.push_back({runner->id_hash, load.first, load.second});
   }
   const auto now = RuntimeClock::now();
-  json limits = json::array();
-  for (const auto& [id, runner] : fleet_.targets()) {
-    const bool is_listed = runner->limit.is_set() &&
-                           runner->limit.Demand(now) >= kMinReportedDemand;
-    if (is_listed) limits.push_back(LimitReport(*runner));
-  }
   const bool is_due = now - sent_at_ >= kHeartbeatInterval;
-  if (loads.empty() && new_parts_.empty() && !is_due) return;
+  if (loads.empty() && new_parts_.empty() && !is_due) return "";
   sent_at_ = now;
   json parts = json::array();
   for (const PartHint& hint : new_parts_) {
@@ -292,9 +308,18 @@
                  registration_offset_.value_or(0)}},
                {kLoads, loads},
                {kParts, parts}};
-  if (!limits.empty()) message[kLimits] = {self_.host_id, limits};
+  const bool is_report_due = now - limits_sent_at_ >= kLimitInterval;
+  if (is_report_due && HasLimits()) {
+    limits_sent_at_ = now;
+    message[kLimits] = {self_.host_id, LimitReports()};
+  }
   const auto bytes = json::to_msgpack(message);
-  bus_.Send(std::string(bytes.begin(), bytes.end()));
+  return {bytes.begin(), bytes.end()};
+}
+
+void Peers::SendBatch() {
+  const std::string batch = EncodeBatch();
+  if (!batch.empty()) bus_.Send(batch);
 }
 
 void Peers::Receive(const std::string& message) {
@@ -326,16 +351,13 @@
         runner->switching_until = now + kSwitchDuration;
       }
     }
-    if (body.contains(kSender)) MarkIdle(body.at(kSender).at(0));
     if (body.contains(kLimits)) ReceiveLimits(body.at(kLimits));
     if (body.contains(kLeaving)) ReceiveLeaving(body.at(kLeaving));
     if (!body.contains(kSender)) return;
     const json& from = body.at(kSender);
     const std::string sender = from.at(0);
     known_hosts_.insert(sender);
-    const auto [known, is_new] = routers_.try_emplace(sender);
-    Router& router = known->second;
-    if (is_new) router.index = static_cast<std::uint32_t>(routers_.size());
+    Router& router = RouterOf(sender);
     router.availability_zone = from.at(1);
     router.relay_address = from.at(2);
     router.registration_offset = from.at(3);
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -74,6 +74,13 @@
   /// Sends a field to the other routers at once. @pre none.
   void Broadcast(std::string_view field, const nlohmann::json& value);
 
+  /// Applies a message of another router; one that is malformed is ignored, or
+  /// logged and ignored from there on. @pre none.
+  void Receive(const std::string& message);
+  /// Encodes the hints that the other routers lack, which then count as sent.
+  /// Empty if there are none and no heartbeat is due. @pre none.
+  std::string EncodeBatch();
+
   /// Announces that a target was ordered to load weights. @pre none.
   void AnnounceOrder(const Runner& runner, const std::string& model,
                      std::uint64_t version);
@@ -126,12 +133,16 @@
   void SendBatch();
   // Limit of a target and this router's demand for it.
   static nlohmann::json LimitReport(const Runner& runner);
+  // Whether a target named a limit.
+  bool HasLimits() const;
+  // Limits of the targets for which this router has demand.
+  nlohmann::json LimitReports() const;
   void ReceiveLimits(const nlohmann::json& reports);
   void ReceiveLeaving(const nlohmann::json& target);
-  void MarkIdle(const std::string& host);
+  // The router with a host id, which is added if it is new.
+  Router& RouterOf(const std::string& host);
   // Number of other routers that may send requests.
   int LivePeers() const;
-  void Receive(const std::string& message);
 
   platform::StoreClient& store_;
   Fleet& fleet_;
@@ -143,6 +154,7 @@
   std::map<std::string, Router> routers_;
   RuntimeClock::time_point started_at_ = RuntimeClock::now();
   RuntimeClock::time_point sent_at_;
+  RuntimeClock::time_point limits_sent_at_;
   RuntimeClock::time_point rollout_announced_at_;
   std::map<std::string, FieldHandler> handlers_;
   wire::PeerBus bus_;
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -108,7 +108,7 @@
     if (was_tried || !may_place || runner->switching_until > now) continue;
     Tier& tier = tiers[runner->suspect_until > now ? 1 : 0];
     tier.is_limited.push_back(
-        !runner->limit.MaySend(fleet.live_peers(), now, input.is_large));
+        !runner->limit.MaySend(fleet.peer_activity(), now, input.is_large));
     tier.targets.push_back(std::move(runner));
   }
   return tiers;
@@ -465,7 +465,7 @@
   auto shortest = std::chrono::nanoseconds::max();
   for (const auto& runner : fleet.AvailableTargets(service)) {
     shortest = std::min(
-        shortest, std::max(runner->limit.TimeToSend(fleet.live_peers(), now),
+        shortest, std::max(runner->limit.TimeToSend(fleet.peer_activity(), now),
                            runner->gate->pause().TimeToPlace(now)));
   }
   return shortest == std::chrono::nanoseconds::max()
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -453,7 +453,7 @@
   RuntimeClock::Advance(seconds(2));
   for (int i = 0; i < 10; ++i) {
     for (const auto& [id, runner] : fleet_.targets()) {
-      if (runner->limit.MaySend(0, RuntimeClock::now())) {
+      if (runner->limit.MaySend(PeerActivity(), RuntimeClock::now())) {
         runner->limit.CountSent();
       }
     }
--- a/tests/src/unit-shared_limit.cpp
+++ b/tests/src/unit-shared_limit.cpp
@@ -18,6 +18,12 @@
 
 TimePoint At(int millis) { return TimePoint(milliseconds(millis)); }
 
+PeerActivity Peers(int live) {
+  PeerActivity peers;
+  peers.set_live(live);
+  return peers;
+}
+
 // Hosts that try to send to one target and report to each other late.
 class SharedLimitFleet {
  public:
@@ -29,7 +35,12 @@
       : demands_(std::move(demands)),
         report_delay_(report_delay),
         hosts_(demands_.size()),
-        is_down_(demands_.size()) {}
+        activity_(demands_.size()),
+        is_down_(demands_.size()) {
+    for (PeerActivity& activity : activity_) {
+      activity.set_live(static_cast<int>(demands_.size()) - 1);
+    }
+  }
 
   // Lets a host learn of the limit by an answer.
   void Name(std::size_t host, double per_second) {
@@ -68,10 +79,9 @@
     const double per_step =
         demands_[host] * std::chrono::duration<double>(kStep).count();
     std::poisson_distribution<int> arrivals(per_step);
-    const int peers = static_cast<int>(hosts_.size()) - 1;
     for (int left = arrivals(random_); left > 0; --left) {
       hosts_[host].CountDemand(now_);
-      if (!hosts_[host].MaySend(peers, now_)) continue;
+      if (!hosts_[host].MaySend(activity_[host], now_)) continue;
       hosts_[host].CountSent();
       sent_.push_back(now_);
       ++sent_by_[host];
@@ -90,8 +100,9 @@
       const Message& message = messages_.front();
       for (std::size_t i = 0; i < hosts_.size(); ++i) {
         if (i == message.from || is_down_[i]) continue;
-        hosts_[i].OnPeerReport(std::to_string(message.from), message.per_second,
-                               message.demand, now_);
+        const auto peer = static_cast<std::uint32_t>(message.from);
+        hosts_[i].OnPeerReport(peer, message.per_second, message.demand, now_);
+        activity_[i].OnReport(peer, now_);
       }
     }
   }
@@ -99,6 +110,7 @@
   std::vector<double> demands_;
   milliseconds report_delay_;
   std::vector<SharedLimit> hosts_;
+  std::vector<PeerActivity> activity_;
   std::vector<bool> is_down_;
   std::deque<Message> messages_;
   std::deque<TimePoint> sent_;
@@ -118,7 +130,7 @@
 TEST(SharedLimit, WithoutALimitNothingIsHeldBack) {
   SharedLimit limit;
   for (int i = 0; i < 1000; ++i) {
-    EXPECT_TRUE(limit.MaySend(5, At(1)));
+    EXPECT_TRUE(limit.MaySend(Peers(5), At(1)));
     limit.CountSent();
   }
 }
@@ -178,39 +190,59 @@
   SharedLimit limit;
   limit.OnAnswer(3, At(1000), At(1100));
   limit.OnAnswer(kLifted, At(1300), At(1400));
-  limit.OnPeerReport("b", 3, 1, At(1500));
+  limit.OnPeerReport(7, 3, 1, At(1500));
   EXPECT_FALSE(limit.is_set());
-  limit.OnPeerReport("b", 3, 1, At(2500));
+  limit.OnPeerReport(7, 3, 1, At(2500));
   EXPECT_TRUE(limit.is_set());
-  limit.OnPeerReport("b", kLifted, 0, At(2600));
+  limit.OnPeerReport(7, kLifted, 0, At(2600));
   EXPECT_FALSE(limit.is_set());
 }
 
 TEST(SharedLimit, ALimitOfZeroStillLetsARequestAskWhetherItHolds) {
   SharedLimit limit;
   limit.OnAnswer(0, At(1000), At(1000));
-  EXPECT_FALSE(limit.MaySend(0, At(1001)));
-  EXPECT_TRUE(limit.MaySend(0, At(1000) + seconds(6)));
+  EXPECT_FALSE(limit.MaySend(Peers(0), At(1001)));
+  EXPECT_TRUE(limit.MaySend(Peers(0), At(1000) + seconds(6)));
 }
 
 TEST(SharedLimit, TheReserveIsKeptForLargeRequests) {
   SharedLimit limit;
   limit.OnAnswer(1, At(1000), At(1000));
-  EXPECT_TRUE(limit.MaySend(0, At(2500), true));
-  EXPECT_FALSE(limit.MaySend(0, At(2500), false));
-  EXPECT_TRUE(limit.MaySend(0, At(3100), false));
+  EXPECT_TRUE(limit.MaySend(Peers(0), At(2500), true));
+  EXPECT_FALSE(limit.MaySend(Peers(0), At(2500), false));
+  EXPECT_TRUE(limit.MaySend(Peers(0), At(3100), false));
   limit.CountSent();
-  EXPECT_TRUE(limit.MaySend(0, At(3100), true));
-  EXPECT_FALSE(limit.MaySend(0, At(3100), false));
+  EXPECT_TRUE(limit.MaySend(Peers(0), At(3100), true));
+  EXPECT_FALSE(limit.MaySend(Peers(0), At(3100), false));
 }
 
 TEST(SharedLimit, AnIdlePeerLeavesItsShare) {
   SharedLimit limit;
   limit.OnAnswer(4, At(1000), At(1000));
   for (int i = 0; i < 8; ++i) limit.CountDemand(At(1000));
-  EXPECT_NEAR(limit.Share(1, At(1000)), 2, 0.01);
-  limit.OnPeerIdle("b", At(1000));
-  EXPECT_GT(limit.Share(1, At(1000)), 3.9);
+  PeerActivity peers = Peers(1);
+  EXPECT_NEAR(limit.Share(peers, At(1000)), 2, 0.01);
+  peers.OnReport(7, At(1000));
+  EXPECT_GT(limit.Share(peers, At(1000)), 3.9);
+}
+
+TEST(SharedLimit, AReportFromBeforeTheLimitDoesNotShowAnIdlePeer) {
+  SharedLimit limit;
+  PeerActivity peers = Peers(1);
+  peers.OnReport(7, At(999));
+  limit.OnAnswer(4, At(1000), At(1000));
+  for (int i = 0; i < 8; ++i) limit.CountDemand(At(1000));
+  EXPECT_NEAR(limit.Share(peers, At(1000)), 2, 0.01);
+}
+
+TEST(SharedLimit, AnIdlePeerThatFallsSilentIsTakenToHaveDemandAgain) {
+  SharedLimit limit;
+  PeerActivity peers = Peers(1);
+  limit.OnAnswer(4, At(1000), At(1000));
+  peers.OnReport(7, At(1000));
+  for (int i = 0; i < 8; ++i) limit.CountDemand(At(2400));
+  EXPECT_GT(limit.Share(peers, At(2499)), 3.9);
+  EXPECT_NEAR(limit.Share(peers, At(2500)), 2, 0.01);
 }
 
 RC_GTEST_PROP(SharedLimitProperty, TheSumStaysWithinTheLimit, ()) {
