Do not send on a request whose caller has left

Cause: a close is noticed when the loop polls its sockets. A router that is late finds the request and the close together, reads the request, and writes it to its target in the same turn, before it looks again.

Evidence: a router that is stopped while five callers send a request and close their connections sent all five on; the new test fails on.

Change: right before a request is written to its target, the caller's socket is asked whether it was closed. Such an attempt ends as unsent, and the exchange as one whose caller has gone.

Verified: the new test and those of callers that go pass.

--- a/src/exchange/engine.cc
+++ b/src/exchange/engine.cc
@@ -64,18 +64,29 @@
   }
   net::Request request =
       CallProtocol(protocol_, [&](auto& d) { return d.Encode(target); });
-  const net::CallOptions options =
+  net::CallOptions options =
       CallProtocol(protocol_, [](auto& d) { return d.Options(); });
+  // The loop may be late to tell of a close; what is sent would run in vain.
+  options.may_send = [this, may_send = std::move(options.may_send)] {
+    return !exchange_.IsCallerGone() && (!may_send || may_send());
+  };
   auto opened =
       co_await client_.Open(target.address, std::move(request), options);
   AttemptResult attempt;
+  bool is_gone = false;
   if (!opened.ok()) {
     attempt.error = opened.error();
     attempt.error.message = target.id + ": " + attempt.error.message;
+    is_gone = attempt.error.id == ErrorId::kTargetWithdrawn &&
+              exchange_.IsCallerGone();
+    if (is_gone) {
+      attempt.result = ForwardResult{ForwardResult::Kind::kCallerGone, {}, {}};
+    }
   } else {
     attempt = co_await Relay(*opened.value(), target);
   }
-  const Error* failure = attempt.result ? nullptr : &attempt.error;
+  const bool has_failed = is_gone || !attempt.result;
+  const Error* failure = has_failed ? &attempt.error : nullptr;
   CallProtocol(protocol_, [&](auto& d) { d.OnAttemptEnd(target, failure); });
   co_return attempt;
 }
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -176,15 +176,17 @@
   co_return ok;
 }
 
-asio::awaitable<void> Exchange::WaitForClose() {
-  const auto [code] =
-      co_await socket_.async_wait(tcp::socket::wait_read, kAsTuple);
+bool Exchange::IsCallerGone() const {
   std::array<char, 1> byte{};
-  error_code peek_code;
+  error_code code;
   const std::size_t bytes =
-      socket_.receive(asio::buffer(byte), tcp::socket::message_peek, peek_code);
-  const bool has_data = !code && bytes > 0;
-  if (!has_data) co_return;
+      socket_.receive(asio::buffer(byte), tcp::socket::message_peek, code);
+  return bytes == 0 && code != asio::error::would_block;
+}
+
+asio::awaitable<void> Exchange::WaitForClose() {
+  co_await socket_.async_wait(tcp::socket::wait_read, kAsTuple);
+  if (IsCallerGone()) co_return;
   // The caller sent its next request already and is still there.
   Timer never(socket_.get_executor(), RuntimeClock::duration::max() / 4);
   co_await never.async_wait(kAsTuple);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -69,6 +69,9 @@
   asio::awaitable<bool> Write(std::string_view data);
   /// Ends a chunked response. @pre `StartStream` returned true.
   asio::awaitable<bool> FinishStream();
+  /// Whether the caller has closed its connection. Unlike `WaitForClose`, this
+  /// sees a close that the loop has not been told of yet. @pre none.
+  bool IsCallerGone() const;
   /// Completes when the caller closes its connection. @pre none.
   asio::awaitable<void> WaitForClose();
   /// Closes the connection after this exchange. @pre none.
--- a/tests/src/process-platform.cpp
+++ b/tests/src/process-platform.cpp
@@ -515,6 +515,28 @@
   }));
 }
 
+// A router that is late finds the request and the close of its connection.
+TEST_F(Platform, ARequestWhoseCallerLeftBeforeItWasReadIsNotSentOn) {
+  const auto ask = [&](const std::string& id) {
+    CallRaw(fleet_.router_address(0),
+            "POST /chat/x HTTP/1.1\r\nHost: shop.example\r\nCredential: "
+            "key-of-workshop\r\nAttempt-Id: " +
+                id +
+                "\r\nModel: m1\r\nToken-Usage: 10,20\r\nPrompt-Prefix: "
+                "a:5,b:5\r\nContent-Length: 0\r\n\r\n",
+            milliseconds(40));
+  };
+  fleet_.router(0).Signal(SIGSTOP);
+  for (int i = 0; i < 5; ++i) ask("gone-" + std::to_string(i));
+  fleet_.router(0).Signal(SIGCONT);
+  EXPECT_TRUE(Eventually([&] {
+    return fleet_.Metric(0, "beryllane_fleet_caller_gone_total") == 5;
+  }));
+  for (int i = 0; i < 5; ++i) {
+    EXPECT_EQ(fleet_.RunsOf("gone-" + std::to_string(i)), 0);
+  }
+}
+
 // Routers 0 and 3 share a zone; the one that registered first reads.
 class PlatformRelay : public ::testing::Test {
  protected:
