Refuse a request that no model runner can start before its deadline

Cause: once all others are at their limits, the one target that has named none takes every request, however long its queue is.

Change: a runner whose predicted wait (prompt tokens that wait for prefill, and its load) exceeds the time to the request's deadline is ruled out like one at its limit. If none is left, the request is refused at once, and the caller is told to come back after half a second or more, spread out.

--- a/src/fleet/fleet_frontend.cc
+++ b/src/fleet/fleet_frontend.cc
@@ -23,6 +23,8 @@
 constexpr milliseconds kStoreRegainTime{1000};
 // By then a retry reaches another host or finds a free slot.
 constexpr milliseconds kRetryAfter{200};
+// A queue that is too long for a request is not much shorter before then.
+constexpr milliseconds kQueueRetryAfter{500};
 constexpr int kUnavailable = 503;
 constexpr int kBadGateway = 502;
 
@@ -197,9 +199,13 @@
   }
   const std::chrono::nanoseconds to_capacity =
       TimeToCapacity(fleet_, routed.service->name, RuntimeClock::now());
-  if (to_capacity <= std::chrono::nanoseconds(0)) return kRetryAfter;
+  const bool is_overloaded = error.id == ErrorId::kOverloaded;
+  if (to_capacity <= std::chrono::nanoseconds(0) && !is_overloaded) {
+    return kRetryAfter;
+  }
+  const milliseconds shortest = is_overloaded ? kQueueRetryAfter : kRetryAfter;
   return SpreadRetryAfter(
-      std::max<std::chrono::nanoseconds>(kRetryAfter, to_capacity),
+      std::max<std::chrono::nanoseconds>(shortest, to_capacity),
       routed.TimeLeft(), HashBytes(routed.request.id).low);
 }
 
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -86,7 +86,8 @@
 // no target of an earlier one can take the request.
 struct Tier {
   Runners targets;
-  // Parallel to `targets`: whether its limit rules the target out now.
+  // Parallel to `targets`: whether its limit or the wait at it rules the target
+  // out now.
   std::vector<bool> is_limited;
 
   bool is_usable() const {
@@ -95,6 +96,22 @@
   }
 };
 
+// Predicted wait for the start of a run at a model runner.
+Millis PredictedWait(Runner& runner, RuntimeClock::time_point now) {
+  const Millis prefill(runner.PendingPrefillTokens(now) /
+                       placement::kPrefillTokensPerMs);
+  return prefill + Millis(kWaitMsPerRequest * runner.EstimatedLoad(now));
+}
+
+// Whether the limit of a target or the wait at it rules the target out.
+bool IsRuledOut(Runner& runner, const Fleet& fleet, const PlacementInput& input,
+                RuntimeClock::time_point now) {
+  const bool is_too_late =
+      input.service.engine && PredictedWait(runner, now) > input.deadline - now;
+  return is_too_late ||
+         !runner.limit.MaySend(fleet.peer_activity(), now, input.is_large);
+}
+
 // Splits targets into the healthy and the suspect ones.
 std::array<Tier, 2> SplitSuspects(Runners targets, const Fleet& fleet,
                                   const PlacementInput& input,
@@ -107,8 +124,7 @@
     const bool may_place = runner->gate->pause().MayPlace(now);
     if (was_tried || !may_place || runner->switching_until > now) continue;
     Tier& tier = tiers[runner->suspect_until > now ? 1 : 0];
-    tier.is_limited.push_back(
-        !runner->limit.MaySend(fleet.peer_activity(), now, input.is_large));
+    tier.is_limited.push_back(IsRuledOut(*runner, fleet, input, now));
     tier.targets.push_back(std::move(runner));
   }
   return tiers;
@@ -227,9 +243,7 @@
   for (const auto& runner : runners) {
     placement::PrefixCandidate candidate;
     candidate.id_hash = runner->id_hash;
-    candidate.wait = Millis(runner->PendingPrefillTokens(now) /
-                                weights.prefill_tokens_per_ms +
-                            kWaitMsPerRequest * runner->EstimatedLoad(now));
+    candidate.wait = PredictedWait(*runner, now);
     if (runner->full_until > now) candidate.wait += kFullPenalty;
     for (std::size_t i = 0; i < prompt_keys.keys.size() &&
                             runner->cache.Contains(prompt_keys.keys[i]);
@@ -454,7 +468,8 @@
   if (!is_held_back) return NoTarget(input);
   return Error{ErrorId::kOverloaded,
                fmt::format("the targets of service {} are at the limits "
-                           "that they named, or asked for a pause",
+                           "that they named, asked for a pause, or would start "
+                           "the run too late",
                            input.service.name),
                Verdict::kNotRun};
 }
--- a/src/fleet/placement.h
+++ b/src/fleet/placement.h
@@ -63,12 +63,16 @@
   RuntimeClock::time_point started;
   /// Whether the request is at least as much work as the mean of its service.
   bool is_large = true;
+  /// When the request must be answered.
+  RuntimeClock::time_point deadline = RuntimeClock::time_point::max();
 };
 
 /// Chooses the target with the lowest cost among those whose rate limits allow
 /// another request, and counts the demand at each that a limit rules out.
-/// Returns `kNoTarget` if no target can take the request, `kOverloaded` if only
-/// limits or pauses prevent it. @pre none. Not thread-safe.
+/// A model runner whose predicted wait exceeds the time to the deadline cannot
+/// take it. Returns `kNoTarget` if no target can take the request,
+/// `kOverloaded` if only limits, waits or pauses prevent it. @pre none. Not
+/// thread-safe.
 Result<PlacementDecision> ChooseTarget(const Fleet& fleet,
                                        const PlacementSettings& settings,
                                        const PlacementInput& input,
--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -162,7 +162,8 @@
   }
   if (auto refusal = quarantine_.FindQuarantined(prompt_)) return *refusal;
   const PlacementInput input{*routed_.service, routed_.account, routed_.request,
-                             tried_targets_,   routed_.started, is_large_};
+                             tried_targets_,   routed_.started, is_large_,
+                             routed_.deadline};
   const auto asked = RuntimeClock::now();
   auto choice = ChooseTarget(fleet_, placement_settings_, input, asked);
   metrics_.choice.Record(RuntimeClock::now() - asked);
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -241,8 +241,9 @@
     request_.parts = {{"aa", 500}, {"bb", 400}, {"cc", 100}};
   }
   Result<PlacementDecision> Choose() {
-    const PlacementInput input{service_, nullptr, request_, tried_,
-                               RuntimeClock::now()};
+    const PlacementInput input{
+        service_, nullptr,  request_, tried_, RuntimeClock::now(),
+        true,     deadline_};
     return ChooseTarget(fleet_, placement_settings_, input,
                         RuntimeClock::now());
   }
@@ -253,6 +254,7 @@
   Service service_;
   platform::CallerRequest request_;
   std::vector<std::string> tried_;
+  RuntimeClock::time_point deadline_ = RuntimeClock::time_point::max();
 };
 
 TEST_F(FleetPlacement, ARouterThatFoundTheGoalAtItsStartUsesNewWeights) {
@@ -510,6 +512,23 @@
   }
 }
 
+TEST_F(FleetPlacement, ARequestThatNoTargetCanStartInTimeIsRefusedAtOnce) {
+  fleet_.SetTarget(Entry("a"));
+  fleet_.SetTarget(Entry("b"));
+  const auto now = RuntimeClock::now();
+  const auto targets = fleet_.AvailableTargets("s");
+  // At 40 tokens a millisecond the first takes 6 s to read its queue.
+  targets[0]->own_pending_prefill_tokens = 240000;
+  targets[1]->limit.OnAnswer(1, now, now);
+  deadline_ = now + seconds(5);
+  const auto refused = Choose();
+  ASSERT_FALSE(refused.ok());
+  EXPECT_EQ(refused.error().id, ErrorId::kOverloaded);
+  EXPECT_EQ(refused.error().verdict, Verdict::kNotRun);
+  deadline_ = now + seconds(7);
+  EXPECT_EQ(Choose().value().runner, targets[0]);
+}
+
 TEST_F(FleetPlacement, ALimitedTargetThatCostsMoreGetsNoDemand) {
   fleet_.SetTarget(Entry("a"));
   fleet_.SetTarget(Entry("b"));
