--- a/src/telemetry/log.h
+++ b/src/telemetry/log.h
@@ -33,6 +33,7 @@
 inline constexpr std::string_view kRequestDone = "request-done";
 inline constexpr std::string_view kStoreDown = "store-down";
 inline constexpr std::string_view kStoreUp = "store-up";
+inline constexpr std::string_view kStoreRestored = "store-restored";
 inline constexpr std::string_view kRecordIgnored = "record-ignored";
 inline constexpr std::string_view kTargetChanged = "target-changed";
 inline constexpr std::string_view kTargetGone = "target-gone";
--- a/standins/metadata_store.cc
+++ b/standins/metadata_store.cc
@@ -32,6 +32,12 @@
 
 }  // namespace
 
+awaitable<void> MetadataStore::Respond(net::Exchange& exchange,
+                                       net::Response answer) const {
+  answer.set("Store-Era", std::to_string(era_));
+  co_await exchange.Respond(std::move(answer));
+}
+
 awaitable<void> MetadataStore::Handle(net::Exchange& exchange) {
   ++calls_;
   if (faults_.silent) {
@@ -39,7 +45,7 @@
   }
   co_await net::Sleep(faults_.answer_time);
   if (faults_.down) {
-    co_await exchange.Respond(JsonAnswer(503, json::object()));
+    co_await Respond(exchange, JsonAnswer(503, json::object()));
     co_return;
   }
   const ParsedTarget target = ParseTarget(net::Target(exchange.request()));
@@ -50,7 +56,7 @@
   } else if (target.path == "/api/log-append") {
     co_await Append(exchange, target);
   } else {
-    co_await exchange.Respond(JsonAnswer(404, json::object()));
+    co_await Respond(exchange, JsonAnswer(404, json::object()));
   }
 }
 
@@ -61,19 +67,19 @@
   constexpr int kLengthBytes = 4;
   const std::string name = Parameter(target, "topic");
   ++reads_[name];
-  Topic& topic = topics_[name];
   const auto from = static_cast<std::uint64_t>(target.Number("from", 0));
   const auto limit =
       RuntimeClock::now() + milliseconds(target.Number("waitMs", 0));
-  while (from >= topic.end() && RuntimeClock::now() < limit) {
+  while (from == topics_[name].end() && RuntimeClock::now() < limit) {
     co_await net::Sleep(kPoll);
   }
   if (faults_.silent) {
     co_await StaySilent();
   }
-  if (from < topic.first) {
+  const Topic& topic = topics_[name];
+  if (from < topic.first || from > topic.end()) {
     const json deleted{{"first", topic.first}};
-    co_await exchange.Respond(JsonAnswer(410, deleted));
+    co_await Respond(exchange, JsonAnswer(410, deleted));
     co_return;
   }
   std::string body;
@@ -86,8 +92,8 @@
     body += static_cast<char>(record.key.size());
     body += record.key + record.value;
   }
-  co_await exchange.Respond(
-      net::MakeResponse(200, std::move(body), "application/octet-stream"));
+  co_await Respond(exchange, net::MakeResponse(200, std::move(body),
+                                               "application/octet-stream"));
 }
 
 awaitable<void> MetadataStore::Newest(net::Exchange& exchange,
@@ -105,7 +111,7 @@
   const json page{{"items", items},
                   {"more", it != topic.newest.end()},
                   {"end", topic.end()}};
-  co_await exchange.Respond(JsonAnswer(200, page));
+  co_await Respond(exchange, JsonAnswer(200, page));
 }
 
 awaitable<void> MetadataStore::Append(net::Exchange& exchange,
@@ -115,7 +121,7 @@
   const std::int64_t expected = target.Number("at", -1);
   if (expected >= 0 && static_cast<std::uint64_t>(expected) != topic.end()) {
     const json other_end{{"end", topic.end()}};
-    co_await exchange.Respond(JsonAnswer(412, other_end));
+    co_await Respond(exchange, JsonAnswer(412, other_end));
     co_return;
   }
   const std::string body = exchange.TakeBody();
@@ -125,7 +131,7 @@
   const std::size_t key_length =
       content.empty() ? 0 : static_cast<unsigned char>(content[0]);
   if (content.size() <= key_length) {
-    co_await exchange.Respond(JsonAnswer(400, json::object()));
+    co_await Respond(exchange, JsonAnswer(400, json::object()));
     co_return;
   }
   Put(topic, content.substr(1, key_length), content.substr(1 + key_length));
@@ -135,7 +141,7 @@
     co_return;
   }
   const json appended{{"offset", offset}, {"end", topic.end()}};
-  co_await exchange.Respond(JsonAnswer(200, appended));
+  co_await Respond(exchange, JsonAnswer(200, appended));
 }
 
 void MetadataStore::Put(Topic& topic, std::string key, std::string value) {
@@ -164,6 +170,11 @@
     Put(topics_[drop["topic"].get<std::string>()],
         drop["key"].get<std::string>(), "");
   }
+  if (change.value("copy", false)) copy_ = topics_;
+  if (change.value("restore", false)) {
+    topics_ = copy_;
+    ++era_;
+  }
   if (change.contains("forget_history")) {
     Topic& topic = topics_[change["forget_history"].get<std::string>()];
     topic.first = topic.end();
--- a/standins/metadata_store.h
+++ b/standins/metadata_store.h
@@ -35,7 +35,8 @@
   /// Answers a call of the public interface. @pre none.
   net::asio::awaitable<void> Handle(net::Exchange& exchange);
   /// Writes a record or changes faults, as `{"put": {topic, key, value}}`,
-  /// `{"drop": {topic, key}}`, `{"forget_history": topic}` or fault fields;
+  /// `{"drop": {topic, key}}`, `{"forget_history": topic}`, `{"copy": true}`,
+  /// `{"restore": true}`, which returns to the last copy, or fault fields;
   /// answers with counts. @pre none.
   net::asio::awaitable<void> Control(net::Exchange& exchange);
 
@@ -61,8 +62,13 @@
   static void Put(Topic& topic, std::string key, std::string value);
   void ApplyChange(const nlohmann::json& change);
 
+  net::asio::awaitable<void> Respond(net::Exchange& exchange,
+                                     net::Response answer) const;
+
   StoreFaults faults_;
   std::map<std::string, Topic> topics_;
+  std::map<std::string, Topic> copy_;
+  std::uint64_t era_ = 1;
   std::mt19937_64 random_;
   std::uint64_t calls_ = 0;
   std::map<std::string, std::uint64_t> reads_;
