Make the tokens of the lease rise over eras of the store

Callers: after the store had returned from an older copy, two routers gave orders under one fencing token, or none gave any.

Cause: the token was an offset of the lease's topic, and offsets are given out again. A holder appended at the old end and got 412 until the log had grown past it; a host that read the copy found no record of the holder that still acted.

The new process test fails there: after the return no router orders the new weights.

Change: the token is made of the era and the offset. A record counts only in the era that it names. A host that held the lease when it learned of the new era may append at once and goes on under a higher token; any other waits the whole hand-over time, counted from when it learned of the era, since a holder that it cannot know of may still act. A host that starts waits likewise if the log has no record of its era. The property test of the lease now returns the log to random earlier lengths and also forbids one token for two hosts.

--- a/include/beryllane/lease/lease.h
+++ b/include/beryllane/lease/lease.h
@@ -1,7 +1,7 @@
 /// @file
 /// A lease kept as records of a log with conditional appends, which succeed
-/// only at the expected end offset. The offset of the record that acquires the
-/// lease is its fencing token.
+/// only at the expected end offset. The fencing token is made of the era of the
+/// log and the offset of the record that acquired the lease.
 #ifndef BERYLLANE_LEASE_LEASE_H_
 #define BERYLLANE_LEASE_LEASE_H_
 
@@ -30,10 +30,15 @@
   /// @pre `self` is unique among the hosts.
   Lease(std::string self, Timing timing);
 
-  /// Applies a record of `holder` that was read from the log. @pre called in
-  /// the order of the offsets.
+  /// The log is of era `era`, which this host first saw at `seen_at`. In a
+  /// newer era the log may lack the latest records and give out their offsets
+  /// again: a host that holds the lease needs a new record, and any other waits
+  /// until a holder that it cannot know of has stopped. @pre none.
+  void OnEra(std::uint64_t era, BootClock::time_point seen_at);
+  /// Applies a record of `holder` that was read from the log and written in
+  /// `era`. @pre called in the order of the offsets.
   void OnRecord(const std::string& holder, std::uint64_t offset,
-                BootClock::time_point seen_at);
+                BootClock::time_point seen_at, std::uint64_t era = 0);
   /// Sets the end offset of the log. @pre none.
   void OnLogEnd(std::uint64_t end) { end_ = end; }
   /// Applies the log's acknowledgement of this host's record, which was sent
@@ -49,10 +54,13 @@
   bool MayAcquire(BootClock::time_point now) const;
   /// Whether this host may act now. @pre none.
   bool IsHeld(BootClock::time_point now) const;
-  /// Fencing token of the current term. @pre `IsHeld`.
+  /// Fencing token of the current term. It rises from term to term, in newer
+  /// eras too. @pre `IsHeld`.
   std::uint64_t token() const { return token_; }
   /// Offset at which the next record is expected. @pre none.
   std::uint64_t end() const { return end_; }
+  /// Era of the log. @pre none.
+  std::uint64_t era() const { return era_; }
   /// Holder named by the latest record; empty if there is none. @pre none.
   const std::string& last_holder() const { return last_holder_; }
 
@@ -61,6 +69,11 @@
   Timing timing_;
   std::string last_holder_;
   BootClock::time_point last_record_seen_at_;
+  std::uint64_t era_ = 0;
+  BootClock::time_point era_seen_at_;
+  // Whether the last holder is known: the log has a record of its own era, or
+  // this host held the lease when the era began.
+  bool is_holder_known_ = true;
   std::uint64_t end_ = 0;
   bool is_holder_ = false;
   std::uint64_t token_ = 0;
--- a/src/coordination/lease.cc
+++ b/src/coordination/lease.cc
@@ -7,10 +7,24 @@
 Lease::Lease(std::string self, Timing timing)
     : self_(std::move(self)), timing_(timing) {}
 
+void Lease::OnEra(std::uint64_t era, BootClock::time_point seen_at) {
+  if (era == era_) return;
+  // Nobody else has held the lease until now, and nobody can acquire it in the
+  // new era without a record that this host will read.
+  is_holder_known_ = IsHeld(seen_at);
+  last_holder_ = is_holder_known_ ? self_ : "";
+  is_holder_ = false;
+  era_ = era;
+  era_seen_at_ = seen_at;
+  end_ = 0;
+}
+
 void Lease::OnRecord(const std::string& holder, std::uint64_t offset,
-                     BootClock::time_point seen_at) {
+                     BootClock::time_point seen_at, std::uint64_t era) {
   if (offset < end_) return;
   end_ = offset + 1;
+  if (era != era_) return;
+  is_holder_known_ = true;
   last_holder_ = holder;
   last_record_seen_at_ = seen_at;
   // Reading back this host's own record, for example after its
@@ -20,8 +34,10 @@
 }
 
 void Lease::OnAppended(std::uint64_t offset, BootClock::time_point sent_at) {
-  if (!is_holder_) token_ = offset;
+  constexpr int kOffsetBits = 32;
+  if (!is_holder_) token_ = era_ << kOffsetBits | offset;
   is_holder_ = true;
+  is_holder_known_ = true;
   renewed_at_ = sent_at;
   last_holder_ = self_;
   last_record_seen_at_ = sent_at;
@@ -31,10 +47,11 @@
 void Lease::Abandon() { is_holder_ = false; }
 
 bool Lease::MayAcquire(BootClock::time_point now) const {
+  const auto handover = timing_.lifetime + timing_.min_handover_gap +
+                        timing_.clock_drift_allowance;
+  if (!is_holder_known_) return now - era_seen_at_ >= handover;
   if (last_holder_.empty() || last_holder_ == self_) return true;
-  return now - last_record_seen_at_ >= timing_.lifetime +
-                                           timing_.min_handover_gap +
-                                           timing_.clock_drift_allowance;
+  return now - last_record_seen_at_ >= handover;
 }
 
 bool Lease::IsHeld(BootClock::time_point now) const {
--- a/src/fleet/weights_rollout.cc
+++ b/src/fleet/weights_rollout.cc
@@ -71,7 +71,14 @@
       orders_(metrics.GetCounter("beryllane_orders_total",
                                  "Orders sent to targets")),
       order_failures_(metrics.GetCounter("beryllane_order_failures_total",
-                                         "Orders that were not accepted")) {}
+                                         "Orders that were not accepted")) {
+  store_.OnRestore([this] { OnRestore(); });
+}
+
+void WeightsRollout::OnRestore() {
+  lease_.OnEra(store_.era().number, store_.era().seen_at);
+  has_read_lease_ = false;
+}
 
 awaitable<void> WeightsRollout::Run() {
   bool had_work = false;
@@ -145,6 +152,7 @@
   lease_read_at_ = RuntimeClock::now();
   std::string topic(platform::kLeaseTopic);
   platform::RecordPage page;
+  lease_.OnEra(store_.era().number, store_.era().seen_at);
   auto read = co_await store_.Read(topic, lease_.end(), milliseconds(0));
   if (!read.ok()) co_return;
   if (read.value()) {
@@ -157,7 +165,8 @@
   for (const auto& record : page.records) {
     const json body = json::parse(record.value, nullptr, false);
     if (!body.is_object()) continue;
-    lease_.OnRecord(body.value("holder", ""), record.offset, seen);
+    lease_.OnRecord(body.value("holder", ""), record.offset, seen,
+                    body.value("era", std::uint64_t{0}));
   }
   if (page.next > lease_.end()) lease_.OnLogEnd(page.next);
   has_read_lease_ = true;
@@ -166,7 +175,7 @@
 awaitable<void> WeightsRollout::Renew() {
   const auto sent = BootClock::now();
   const bool was_held = lease_.IsHeld(sent);
-  std::string value = json{{"holder", host_id_}}.dump();
+  std::string value = json{{"holder", host_id_}, {"era", lease_.era()}}.dump();
   auto outcome =
       co_await store_.Append(std::string(platform::kLeaseTopic),
                              std::string(kLeaseKey), value, lease_.end());
--- a/src/fleet/weights_rollout.h
+++ b/src/fleet/weights_rollout.h
@@ -50,6 +50,7 @@
   SendKind OrderKind(const Runner& runner, const std::string& model) const;
   void NotePause(Runner& runner, const net::Response& answer,
                  std::string_view kind);
+  void OnRestore();
   net::asio::awaitable<void> AcquireLease();
   net::asio::awaitable<void> ReadLease();
   net::asio::awaitable<void> Renew();
--- a/tests/src/process-rollout.cpp
+++ b/tests/src/process-rollout.cpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <thread>
 
 #include "beryllane/clock/runtime_clock.h"
 #include "tests/support/platform_fleet.h"
@@ -54,6 +55,23 @@
   EXPECT_EQ(answer.value().body(), PlatformFleet::WholeStream());
 }
 
+TEST_F(PlatformRollout, TokensRiseWhenTheStoreReturnsFromAnOlderCopy) {
+  fleet_.ControlStore({{"copy", true}});
+  Name(2);
+  ASSERT_TRUE(Eventually([&] { return AllHave(2); }));
+  fleet_.ControlStore({{"down", true}, {"restore", true}});
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  fleet_.ControlStore({{"down", false}});
+  Name(3);
+  EXPECT_TRUE(Eventually([&] { return AllHave(3); }));
+  for (int i = 0; i < PlatformFleet::kRunners; ++i) {
+    const json orders = Seen(i)["orders"];
+    ASSERT_EQ(orders.size(), 2U);
+    EXPECT_GT(orders[1]["fencingToken"].get<std::uint64_t>(),
+              orders[0]["fencingToken"].get<std::uint64_t>());
+  }
+}
+
 TEST_F(PlatformRollout, AnEarlierReportIsNotTakenForTheAnswerToAnOrder) {
   for (int i = 0; i < PlatformFleet::kRunners; ++i) {
     fleet_.ControlRunner(
--- a/tests/src/unit-lease.cpp
+++ b/tests/src/unit-lease.cpp
@@ -59,16 +59,53 @@
   EXPECT_EQ(lease.token(), 6U);
 }
 
+TEST(Lease, TheHolderGoesOnInANewEraWithAHigherToken) {
+  Lease lease("a", kTerms);
+  lease.OnEra(1, At(0));
+  lease.OnAppended(90, At(5000));
+  const std::uint64_t before = lease.token();
+  lease.OnEra(2, At(5100));
+  EXPECT_FALSE(lease.IsHeld(At(5100)));
+  EXPECT_TRUE(lease.MayAcquire(At(5100)));
+  lease.OnAppended(0, At(5100));
+  EXPECT_GT(lease.token(), before);
+}
+
+TEST(Lease, OthersWaitInANewEraForAHolderThatTheyCannotKnowOf) {
+  Lease lease("b", kTerms);
+  lease.OnEra(1, At(0));
+  EXPECT_TRUE(lease.MayAcquire(At(4200)));
+  lease.OnEra(2, At(5000));
+  lease.OnRecord("b", 0, At(5000), 1);
+  EXPECT_FALSE(lease.MayAcquire(At(5000 + 4199)));
+  EXPECT_TRUE(lease.MayAcquire(At(5000 + 4200)));
+  EXPECT_EQ(lease.end(), 1U);
+}
+
+TEST(Lease, AnExpiredTenureIsNotContinuedInANewEra) {
+  Lease lease("a", kTerms);
+  lease.OnEra(1, At(0));
+  lease.OnAppended(90, At(5000));
+  lease.OnEra(2, At(6000));
+  EXPECT_FALSE(lease.MayAcquire(At(6000)));
+}
+
 // One log and several hosts that act, read, sleep and lose confirmations at
-// random: two hosts never act within the separation of each other, and tokens
-// never fall.
+// random, while the log returns from older copies: two hosts never act within
+// the separation of each other, and tokens never fall or serve two hosts.
 RC_GTEST_PROP(Lease, HoldersAreSeparatedWhateverHappens, ()) {
   constexpr int kHosts = 3;
-  std::vector<std::string> log;
+  struct Record {
+    std::string holder;
+    std::uint64_t era = 1;
+  };
+  std::vector<Record> log;
+  std::uint64_t era = 1;
   std::vector<Lease> hosts;
   hosts.reserve(kHosts);
   for (int i = 0; i < kHosts; ++i) {
     hosts.emplace_back(std::string(1, static_cast<char>('a' + i)), kTerms);
+    hosts.back().OnEra(era, At(0));
   }
   int now = 0;
   int last_actor = -1;
@@ -79,21 +116,26 @@
     now += *rc::gen::inRange(1, 1500);
     const int who = *rc::gen::inRange(0, kHosts);
     Lease& host = hosts[who];
-    const int what = *rc::gen::inRange(0, 3);
-    if (what == 0) {
+    const int what = *rc::gen::inRange(0, 10);
+    if (what == 9) {
+      log.resize(*rc::gen::inRange<std::size_t>(0, log.size() + 1));
+      ++era;
+    } else if (what < 3) {
+      host.OnEra(era, At(now));
       for (std::uint64_t i = host.end(); i < log.size(); ++i) {
-        host.OnRecord(log[i], i, At(now));
+        host.OnRecord(log[i].holder, i, At(now), log[i].era);
       }
-    } else if (what == 1 && host.MayAcquire(At(now))) {
-      if (host.end() != log.size()) continue;
+    } else if (what < 6 && host.MayAcquire(At(now))) {
+      if (host.era() != era || host.end() != log.size()) continue;
       const int sent = now;
-      log.emplace_back(1, static_cast<char>('a' + who));
+      log.push_back({std::string(1, static_cast<char>('a' + who)), era});
       now += *rc::gen::inRange(0, 2000);
       const bool is_confirmed = *rc::gen::arbitrary<bool>();
       if (is_confirmed) host.OnAppended(log.size() - 1, At(sent));
     } else if (host.IsHeld(At(now))) {
       if (last_actor >= 0 && last_actor != who) {
         RC_ASSERT(now - last_act >= 3000);
+        RC_ASSERT(host.token() > highest_token);
       }
       RC_ASSERT(host.token() >= highest_token);
       highest_token = host.token();
