Read the store anew in each of its eras

Callers: a configuration that was confirmed after the store had returned from an older copy was never in force where the log had grown past the old offsets.

Cause: followers went on from the offset of the earlier history, and a zone's reader served its followers records of one history by offsets of the other.

Evidence: the new process test, four routers with a zone's reader, fails on: version 5, written below the offset that the routers had, is not in force within a minute.

Change: when the era rises, offsets and the buffers for followers are dropped, and the newest record of each key is read. Requests to the zone's reader and its answers name the era. A configuration, keys that were taken away and weights that were named stay in force until newer versions are read. Targets that the copy lacks are kept for as long as after an outage.

--- a/src/fleet/record_relay.cc
+++ b/src/fleet/record_relay.cc
@@ -65,21 +65,22 @@
 }
 
 std::string Encode(const RelayRequest& request) {
-  return Pack(
-      {request.operator_next, request.targets_next, request.quarantine_next});
+  return Pack({request.operator_next, request.targets_next,
+               request.quarantine_next, request.era});
 }
 
 std::string Encode(const RelayAnswer& answer) {
   return Pack({answer.proof_age.count(), ToJson(answer.operator_page),
-               ToJson(answer.targets_page), ToJson(answer.quarantine_page)});
+               ToJson(answer.targets_page), ToJson(answer.quarantine_page),
+               answer.era});
 }
 
 std::optional<RelayRequest> DecodeRelayRequest(const std::string& message) {
   try {
     const json body = json::from_msgpack(message);
-    return RelayRequest{body.at(0).get<std::uint64_t>(),
-                        body.at(1).get<std::uint64_t>(),
-                        body.at(2).get<std::uint64_t>()};
+    return RelayRequest{
+        body.at(0).get<std::uint64_t>(), body.at(1).get<std::uint64_t>(),
+        body.at(2).get<std::uint64_t>(), body.at(3).get<std::uint64_t>()};
   } catch (const json::exception&) {
     return std::nullopt;
   }
@@ -93,20 +94,31 @@
     answer.operator_page = ToPage(body.at(1));
     answer.targets_page = ToPage(body.at(2));
     answer.quarantine_page = ToPage(body.at(3));
+    answer.era = body.at(4).get<std::uint64_t>();
     return answer;
   } catch (const json::exception&) {
     return std::nullopt;
   }
 }
 
+void RecordRelay::SetEra(std::uint64_t era) {
+  if (era == era_) return;
+  era_ = era;
+  for (RecordTail* tail :
+       {&operator_tail_, &targets_tail_, &quarantine_tail_}) {
+    tail->Clear();
+  }
+}
+
 std::string RecordRelay::Serve(const std::string& message) const {
   const auto request = DecodeRelayRequest(message);
-  if (!request || !is_store_up_) return "";
+  if (!request || !is_store_up_ || request->era != era_) return "";
   auto operator_page = operator_tail_.ReadFrom(request->operator_next);
   auto targets_page = targets_tail_.ReadFrom(request->targets_next);
   auto quarantine_page = quarantine_tail_.ReadFrom(request->quarantine_next);
   if (!operator_page || !targets_page || !quarantine_page) return "";
   RelayAnswer answer;
+  answer.era = era_;
   const auto age = freshness_.Age(BootClock::now());
   if (age) {
     answer.proof_age = std::chrono::ceil<milliseconds>(*age);
--- a/src/fleet/record_relay.h
+++ b/src/fleet/record_relay.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <optional>
 #include <string>
 #include <vector>
@@ -33,8 +34,17 @@
   std::optional<platform::RecordPage> ReadFrom(std::uint64_t from) const;
   /// Offset after the newest record. @pre none.
   std::uint64_t end() const { return end_; }
+  /// Forgets all records; nothing is served until the next `Add`. @pre none.
+  void Clear() {
+    records_.clear();
+    first_ = kNothing;
+    end_ = kNothing;
+  }
 
  private:
+  static constexpr std::uint64_t kNothing =
+      std::numeric_limits<std::uint64_t>::max();
+
   std::uint64_t first_ = 0;
   std::uint64_t end_ = 0;
   std::deque<platform::KeyedRecord> records_;
@@ -45,6 +55,8 @@
   std::uint64_t operator_next = 0;
   std::uint64_t targets_next = 0;
   std::uint64_t quarantine_next = 0;
+  /// Era of the store to which the offsets belong.
+  std::uint64_t era = 0;
 };
 
 /// Answer of a reader.
@@ -55,6 +67,8 @@
   platform::RecordPage operator_page;
   platform::RecordPage targets_page;
   platform::RecordPage quarantine_page;
+  /// Era of the store from which the records were read.
+  std::uint64_t era = 0;
 };
 
 /// Encodes a request or an answer. @pre none. Thread-safe.
@@ -76,9 +90,11 @@
   /// Sets whether this router can read the store; if not, followers get an
   /// empty answer and read elsewhere. @pre none.
   void set_is_store_up(bool is_store_up) { is_store_up_ = is_store_up; }
+  /// Forgets all records, because the store is in another era. @pre none.
+  void SetEra(std::uint64_t era);
   /// Answers a follower's request. The answer is empty if the message is
-  /// malformed, the records are not kept or the store cannot be read. @pre
-  /// none.
+  /// malformed or of another era, the records are not kept or the store cannot
+  /// be read. @pre none.
   std::string Serve(const std::string& message) const;
 
  private:
@@ -87,6 +103,7 @@
   RecordTail targets_tail_;
   RecordTail quarantine_tail_;
   bool is_store_up_ = true;
+  std::uint64_t era_ = 0;
 };
 
 }  // namespace beryllane::fleet
--- a/src/fleet/store_follower.cc
+++ b/src/fleet/store_follower.cc
@@ -52,7 +52,20 @@
       relay_client_(relay_client),
       fleet_(fleet),
       on_config_(std::move(on_config)),
-      on_weights_(std::move(on_weights)) {}
+      on_weights_(std::move(on_weights)) {
+  store_.OnRestore([this] { OnRestore(); });
+}
+
+void StoreFollower::OnRestore() {
+  operator_next_.reset();
+  targets_next_.reset();
+  quarantine_next_.reset();
+  relayed_at_.reset();
+  relay_.SetEra(store_.era().number);
+  // Entries that were written since the copy was made are missing until their
+  // targets write again.
+  reregistration_until_ = RuntimeClock::now() + kReregistrationTime;
+}
 
 awaitable<void> StoreFollower::FollowOperator() {
   for (;;) {
@@ -77,6 +90,7 @@
       co_return false;
     }
     SetStoreUp(true, "");
+    relay_.SetEra(store_.era().number);
     for (const auto& record : page.value().records) ApplyOperator(record);
     operator_next_ = page.value().next;
     relay_.operator_tail().Add(*operator_next_, {{}, *operator_next_});
@@ -101,7 +115,7 @@
   }
   const platform::RecordPage& read = *page.value();
   // A relayed answer may have advanced the offset during this read.
-  if (read.next < operator_next_) co_return true;
+  if (!operator_next_ || read.next < *operator_next_) co_return true;
   for (const auto& record : read.records) ApplyOperator(record);
   relay_.operator_tail().Add(*operator_next_, read);
   operator_next_ = read.next;
@@ -247,14 +261,15 @@
   const auto reader = peers_->ZoneReader();
   if (!reader) co_return false;
   const auto sent = BootClock::now();
-  const RelayRequest request{*operator_next_, *targets_next_,
-                             *quarantine_next_};
+  const RelayRequest request{*operator_next_, *targets_next_, *quarantine_next_,
+                             store_.era().number};
   auto reply =
       co_await relay_client_.Call(*reader, Encode(request), kRelayTimeout);
   std::optional<RelayAnswer> answer;
   if (reply.ok()) answer = DecodeRelayAnswer(reply.value());
   const bool is_useful = answer && answer->proof_age >= milliseconds(0) &&
-                         answer->proof_age < kMaxProofAge;
+                         answer->proof_age < kMaxProofAge &&
+                         answer->era == store_.era().number;
   if (!is_useful) {
     peers_->ExcludeReader(*reader);
     relayed_at_.reset();
--- a/src/fleet/store_follower.h
+++ b/src/fleet/store_follower.h
@@ -58,6 +58,8 @@
   const RecordRelay& relay() const { return relay_; }
 
  private:
+  // What was read stays in force; offsets and relayed records do not.
+  void OnRestore();
   net::asio::awaitable<bool> ReadOperator();
   net::asio::awaitable<bool> ReadTargets();
   net::asio::awaitable<bool> ReadQuarantine();
--- a/tests/src/process-platform.cpp
+++ b/tests/src/process-platform.cpp
@@ -577,6 +577,41 @@
   EXPECT_EQ(StatusOf(fleet_.Send(follower_, "/book/x", "old")), 401);
 }
 
+// While the store is away it grows past the offsets that the routers know.
+TEST_F(PlatformRelay, AStoreThatReturnsFromAnOlderCopyIsReadAnew) {
+  const auto all_have = [&](int version) {
+    return Eventually([&] {
+      for (int i = 0; i < 4; ++i) {
+        if (fleet_.Metric(i, "beryllane_config_version") != version) {
+          return false;
+        }
+      }
+      return true;
+    });
+  };
+  json config = PlatformFleet::FirstConfig();
+  const auto publish = [&](int version) {
+    config["version"] = version;
+    fleet_.Put("keyed.op", "config", config);
+  };
+  fleet_.ControlStore({{"copy", true}});
+  publish(4);
+  ASSERT_TRUE(all_have(4));
+  fleet_.ControlStore({{"down", true}, {"restore", true}});
+  publish(5);
+  fleet_.Put("keyed.op", "version/m2", json{{"model", "m2"}, {"version", 1}});
+  fleet_.Put("keyed.op", "version/m3", json{{"model", "m3"}, {"version", 1}});
+  std::this_thread::sleep_for(milliseconds(300));
+  fleet_.ControlStore({{"down", false}});
+  EXPECT_TRUE(all_have(5));
+  fleet_.ControlStore({{"copy", true}});
+  publish(6);
+  ASSERT_TRUE(all_have(6));
+  fleet_.ControlStore({{"restore", true}});
+  std::this_thread::sleep_for(milliseconds(1500));
+  EXPECT_TRUE(all_have(6));
+}
+
 TEST_F(PlatformRelay, AFollowerReadsItselfWhenItsReaderIsGone) {
   fleet_.router(reader_).Signal(SIGSTOP);
   PutKey(2, "second-key");
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -689,6 +689,22 @@
   EXPECT_EQ(relay.Serve(Encode(RelayRequest{9, 1})), "");
 }
 
+TEST(RecordRelayServing, RecordsOfAnotherEraAreNotServed) {
+  Freshness freshness;
+  RecordRelay relay(freshness);
+  relay.SetEra(1);
+  for (RecordTail* tail : {&relay.operator_tail(), &relay.targets_tail(),
+                           &relay.quarantine_tail()}) {
+    tail->Add(0, Page(0, 5));
+  }
+  EXPECT_NE(relay.Serve(Encode(RelayRequest{1, 1, 1, 1})), "");
+  EXPECT_EQ(relay.Serve(Encode(RelayRequest{1, 1, 1, 0})), "");
+  EXPECT_EQ(relay.Serve(Encode(RelayRequest{1, 1, 1, 2})), "");
+  relay.SetEra(2);
+  EXPECT_EQ(relay.Serve(Encode(RelayRequest{1, 1, 1, 2})), "");
+  EXPECT_EQ(relay.Serve(Encode(RelayRequest{0, 0, 0, 2})), "");
+}
+
 TEST(RecordRelayCodec, KeepsBytesAndRefusesOthers) {
   RelayAnswer answer;
   answer.proof_age = milliseconds(7);
