Register a router again when the store returns from an older copy

Callers: none that was seen. Routers that start after the return would not find those whose registrations the copy lacks, and would not hear their hints.

Cause: the registration was written once, and the order of a zone's readers follows from its offset, which is given out again.

Change: routers register again, spread over a second, and connect to those that registered before them and that they do not hear. The rank of a registration is made of era and offset. No test shows a lost registration.

--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -1,6 +1,8 @@
 #include "src/fleet/peers.h"
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -29,6 +31,7 @@
 // hint before then, so that requests for the same parts go to the same runner.
 constexpr milliseconds kPartInterval{20};
 constexpr milliseconds kRegisterBackoff{500};
+constexpr milliseconds kMaxRegisterDelay{1000};
 // Interval of reports of limits; several fit into their lifetime.
 constexpr milliseconds kLimitInterval{400};
 // An empty batch is sent after this time; well below `kRouterTimeout`.
@@ -68,7 +71,9 @@
           "beryllane_fleet_unread_hints_total",
           "Messages of peers whose hints were not read on a busy loop")),
       bus_(loop, metrics,
-           [this](const std::string& message) { Receive(message); }) {}
+           [this](const std::string& message) { Receive(message); }) {
+  store_.OnRestore([this] { is_registration_lost_ = true; });
+}
 
 awaitable<void> Peers::Run() {
   auto listening = bus_.Listen(self_.bus_address);
@@ -80,6 +85,8 @@
   while (!co_await Register()) {
     co_await net::Sleep(kRegisterBackoff);
   }
+  net::asio::co_spawn(co_await net::asio::this_coro::executor,
+                      RegisterAfterRestores(), net::asio::detached);
   for (;;) {
     // Scaling the intervals with the number of routers keeps the rate at each
     // receiver constant.
@@ -94,6 +101,22 @@
   }
 }
 
+// Routers that start later find only those whose records the store has.
+awaitable<void> Peers::RegisterAfterRestores() {
+  // Spreads the calls of all routers.
+  const auto delay =
+      milliseconds(HashBytes(self_.host_id).low %
+                   static_cast<std::uint64_t>(kMaxRegisterDelay.count()));
+  for (;;) {
+    co_await net::Sleep(kRegisterBackoff);
+    if (!is_registration_lost_) continue;
+    co_await net::Sleep(delay);
+    is_registration_lost_ = false;
+    const bool is_registered = co_await Register();
+    is_registration_lost_ = is_registration_lost_ || !is_registered;
+  }
+}
+
 // Each router appends its address and then connects to those that registered
 // before it. Each pair thus has one connection, and no router has to read the
 // list a second time.
@@ -105,7 +128,9 @@
   if (!appended.ok()) co_return false;
   auto listed = co_await store_.ReadNewest(topic);
   if (!listed.ok()) co_return false;
-  registration_offset_ = appended.value().offset;
+  constexpr int kOffsetBits = 32;
+  registration_rank_ =
+      store_.era().number << kOffsetBits | appended.value().offset;
   for (const auto& record : listed.value().records) {
     known_hosts_.insert(record.key);
     const json body = json::parse(record.value, nullptr, false);
@@ -113,7 +138,10 @@
                             record.key != self_.host_id && body.is_object();
     if (!is_earlier) continue;
     const std::string address = body.value("address", "");
-    if (address == self_.bus_address) continue;
+    const bool is_connected = address == self_.bus_address ||
+                              routers_.contains(record.key) ||
+                              !dialed_.insert(address).second;
+    if (is_connected) continue;
     auto dialed = bus_.Dial(address);
     if (!dialed.ok()) {
       telemetry::Log(Level::kWarning, telemetry::event::kRecordIgnored,
@@ -132,13 +160,12 @@
     const bool is_usable =
         router.availability_zone == self_.availability_zone &&
         router.IsAlive(now) && router.excluded_until <= now;
-    const bool is_earlier =
-        reader == nullptr ||
-        router.registration_offset < reader->registration_offset;
+    const bool is_earlier = reader == nullptr || router.registration_rank <
+                                                     reader->registration_rank;
     if (is_usable && is_earlier) reader = &router;
   }
-  const bool is_self = reader == nullptr || !registration_offset_ ||
-                       *registration_offset_ < reader->registration_offset;
+  const bool is_self = reader == nullptr || !registration_rank_ ||
+                       *registration_rank_ < reader->registration_rank;
   if (is_self) return std::nullopt;
   return reader->relay_address;
 }
@@ -308,7 +335,7 @@
   new_parts_.clear();
   json message{{kSender,
                 {self_.host_id, self_.availability_zone, self_.relay_address,
-                 registration_offset_.value_or(0)}},
+                 registration_rank_.value_or(0)}},
                {kLoads, loads},
                {kParts, parts}};
   const bool is_report_due = now - limits_sent_at_ >= kLimitInterval;
@@ -363,7 +390,7 @@
     Router& router = RouterOf(sender);
     router.availability_zone = from.at(1);
     router.relay_address = from.at(2);
-    router.registration_offset = from.at(3);
+    router.registration_rank = from.at(3);
     router.last_received_at = now;
     if (loop_lag_ != nullptr && loop_lag_->IsBusy()) {
       unread_hints_.Add();
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -116,8 +116,8 @@
     std::uint32_t index = 0;
     std::string availability_zone;
     std::string relay_address;
-    // Offset of its registration record in the store.
-    std::uint64_t registration_offset = 0;
+    // Rank of its registration record in the store; earlier ones are lower.
+    std::uint64_t registration_rank = 0;
     RuntimeClock::time_point last_received_at;
     // Not selected as reader before this time.
     RuntimeClock::time_point excluded_until;
@@ -134,7 +134,10 @@
     std::uint32_t tokens;
   };
 
+  // Registers this router and connects to those that registered before it.
   net::asio::awaitable<bool> Register();
+  // Registers again each time that the store returns from an older copy.
+  net::asio::awaitable<void> RegisterAfterRestores();
   void SendBatch();
   // Limit of a target and this router's demand for it.
   static nlohmann::json LimitReport(const Runner& runner);
@@ -154,8 +157,12 @@
   platform::StoreClient& store_;
   Fleet& fleet_;
   Identity self_;
-  // Offset of this router's registration; none before it is registered.
-  std::optional<std::uint64_t> registration_offset_;
+  // Rank of this router's registration; none before it is registered.
+  std::optional<std::uint64_t> registration_rank_;
+  // Whether the store may have lost the registration.
+  bool is_registration_lost_ = false;
+  // Addresses to which connections were opened.
+  std::set<std::string> dialed_;
   std::set<std::string> known_hosts_;
   // Other routers from which a message was received, by host id.
   std::map<std::string, Router> routers_;
