Write quarantine verdicts again that the store may have lost

A verdict on a deadly prompt part that the copy lacks would have been taken for deleted, and the part would have been let through to runners again.

Cause: a record that is not on the list was taken for one that was deleted, and the right to a trial was claimed at an offset of the earlier era.

Change: when the era rises, verdicts count as not stored, so they are written again, by rank; trials are claimed only once the topic has been read anew.

--- a/src/fleet/part_quarantine.cc
+++ b/src/fleet/part_quarantine.cc
@@ -120,11 +120,22 @@
   metrics.AddCallbackGauge(
       "beryllane_fleet_quarantined_parts", "Prompt parts in quarantine",
       [this] { return static_cast<double>(table_.entries().size()); });
+  store_.OnRestore([this] { OnRestore(); });
   peers_.Subscribe(kCrashField, [this](const json& m) { ReceiveCrash(m); });
   peers_.Subscribe(kClearedField, [this](const json& m) { ReceiveCleared(m); });
   peers_.Subscribe(kVerdictField, [this](const json& m) { ReceiveVerdict(m); });
 }
 
+void PartQuarantine::OnRestore() {
+  next_offset_.reset();
+  const auto delay =
+      std::min(kMaxWriteDelay, (1 + peers_.Rank()) * kWriteDelayPerRank);
+  for (auto& [part, verdict] : verdicts_) {
+    verdict.stored_strikes = 0;
+    verdict.write_after = RuntimeClock::now() + delay;
+  }
+}
+
 std::optional<Error> PartQuarantine::Admit(PromptRequest& request) {
   const auto now = RuntimeClock::now();
   int refused_parts = 0;
@@ -412,6 +423,11 @@
 // The record that grants the trial also extends the quarantine at all routers,
 // so that a router that stops after it leaves no gap.
 awaitable<void> PartQuarantine::ClaimTrial(std::uint64_t part, int strikes) {
+  if (!next_offset_) {
+    // A request after the topic has been read claims the trial.
+    trial_claims_.erase(part);
+    co_return;
+  }
   const std::string value = VerdictRecord(part, strikes);
   const auto appended =
       co_await store_.Append(std::string(platform::kQuarantineTopic),
--- a/src/fleet/part_quarantine.h
+++ b/src/fleet/part_quarantine.h
@@ -118,6 +118,8 @@
     RuntimeClock::time_point write_after;
   };
 
+  // Has verdicts written again that the store may have lost.
+  void OnRestore();
   net::asio::awaitable<void> ConfirmCrash(std::shared_ptr<Runner> runner);
   net::asio::awaitable<void> ClaimTrial(std::uint64_t part, int strikes);
   std::string VerdictRecord(std::uint64_t part, int strikes) const;
@@ -159,8 +161,9 @@
   // asks the store for that right.
   std::set<std::uint64_t> trials_;
   std::set<std::uint64_t> trial_claims_;
-  // Offset after the newest record of the topic that was read.
-  std::uint64_t next_offset_ = 0;
+  // Offset after the newest record of the topic that was read; none while it is
+  // to be read anew.
+  std::optional<std::uint64_t> next_offset_;
   Counter& crashes_;
   Counter& convictions_;
   Counter& refusals_;
