Ignore entries of targets older than those seen before their removal

Callers: none that was seen. An older copy of the list shows targets that have left since; requests to them would fail, or reach a target that was known to be gone.

Cause: the sequence number of an entry was compared only while the target was on the list.

Change: it is remembered with the gate of the incarnation. A unit test holds it.

--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -94,7 +94,16 @@
   return true;
 }
 
+bool Fleet::IsOutdated(const TargetEntry& entry) const {
+  const auto known = gates_.find(entry.id);
+  if (known == gates_.end() || entry.start_time == 0) return false;
+  const bool is_same = entry.start_time == known->second.start_time;
+  return entry.start_time < known->second.start_time ||
+         (is_same && entry.sequence < known->second.sequence);
+}
+
 void Fleet::SetTarget(TargetEntry entry) {
+  if (IsOutdated(entry)) return;
   std::shared_ptr<Runner>& runner = targets_[entry.id];
   if (runner && entry.start_time < runner->entry.start_time) return;
   const bool is_same = runner && runner->entry.start_time == entry.start_time &&
@@ -105,6 +114,7 @@
       if (listed > runner->VersionOf(model)) runner->cache.Clear();
     }
     if (entry.is_draining) runner->gate->OnListedDraining(RuntimeClock::now());
+    gates_[entry.id].sequence = entry.sequence;
     runner->entry = std::move(entry);
     return;
   }
@@ -119,6 +129,7 @@
     }
   }
   runner->gate = GateOf(entry);
+  gates_[entry.id].sequence = entry.sequence;
   runner->gate->OnListedAgain();
   if (entry.is_draining) runner->gate->OnListedDraining(RuntimeClock::now());
   runner->entry = std::move(entry);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -123,7 +123,8 @@
   std::shared_ptr<const FleetConfig> config() const { return config_; }
 
   /// Adds or updates a target. An entry of an older incarnation, or one with a
-  /// lower sequence number, is ignored. @pre none.
+  /// lower sequence number, is ignored, also after the target's removal. @pre
+  /// none.
   void SetTarget(TargetEntry entry);
   /// The list of targets was read, and all its entries were set. @pre none.
   void OnListRead();
@@ -203,10 +204,14 @@
   struct KnownGate {
     std::int64_t start_time = 0;
     std::shared_ptr<TargetGate> gate;
+    // Highest sequence number of an entry.
+    std::uint64_t sequence = 0;
   };
 
   // The gate of the entry's incarnation, which outlives its place on the list.
   std::shared_ptr<TargetGate> GateOf(const TargetEntry& entry);
+  // Whether a newer entry of the same target was seen.
+  bool IsOutdated(const TargetEntry& entry) const;
   // Credits an answer to the call of `asked` to the target that gave it.
   void Observe(Runner& asked, const platform::TargetNotice& notice);
   // The target that gave an answer; null if it is not on the list.
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -88,6 +88,21 @@
   EXPECT_EQ(fleet.AvailableTargets("s")[0]->VersionOf("m"), 3U);
 }
 
+TEST(FleetState, AnOlderCopyOfTheListBringsNoTargetBack) {
+  Fleet fleet;
+  TargetEntry entry = Entry("i");
+  entry.start_time = 10;
+  entry.sequence = 7;
+  fleet.SetTarget(entry);
+  fleet.RemoveTarget("i");
+  entry.sequence = 6;
+  fleet.SetTarget(entry);
+  EXPECT_TRUE(fleet.AvailableTargets("s").empty());
+  entry.sequence = 8;
+  fleet.SetTarget(entry);
+  EXPECT_EQ(fleet.AvailableTargets("s").size(), 1U);
+}
+
 TEST(FleetState, ANewIncarnationHasAnEmptyCache) {
   Fleet fleet;
   TargetEntry entry = Entry("i");
