Refuse requests that are read late in a graceful stop

Cause: after the router has stopped accepting, a connection on which a request is just being read goes on, and the request is forwarded whenever it is complete; the process may end before its answer.

Evidence: the new process test, with a body that ends 3.5 s after SIGTERM, failed before: the request ran at its target.

Change: from the moment at which the router stops accepting, a request that has been read is refused as not run.

--- a/src/fleet/fleet_frontend.cc
+++ b/src/fleet/fleet_frontend.cc
@@ -226,6 +226,12 @@
 
 awaitable<void> FleetFrontend::Handle(net::Exchange& exchange) {
   if (is_stopping_) exchange.CloseAfter();
+  if (is_refusing_) {
+    co_await SendError(exchange, "",
+                       Refusal(ErrorId::kNotReady, "the router is stopping"),
+                       kRetryAfter);
+    co_return;
+  }
   if (loop_lag_.IsOverloaded()) {
     co_await Shed(exchange);
     co_return;
--- a/src/fleet/fleet_frontend.h
+++ b/src/fleet/fleet_frontend.h
@@ -33,6 +33,9 @@
   /// Ends readiness and closes each connection after its next answer. @pre
   /// none.
   void SetStopping() { is_stopping_ = true; }
+  /// Refuses requests from now on, as they might not complete before the
+  /// process ends. @pre none.
+  void SetRefusing() { is_refusing_ = true; }
 
  private:
   Result<RoutedRequest> Admit(const net::Exchange& exchange);
@@ -72,6 +75,7 @@
   PlacementSettings placement_settings_;
   FleetMetrics metrics_;
   bool is_stopping_ = false;
+  bool is_refusing_ = false;
 };
 
 }  // namespace beryllane::fleet
--- a/src/fleet/fleet_node.cc
+++ b/src/fleet/fleet_node.cc
@@ -276,6 +276,7 @@
   caller_server_.CloseAfterResponses();
   co_await net::Sleep(kBalancerDetectionTime);
   // Requests accepted later might not complete within the grace period.
+  frontend_.SetRefusing();
   caller_server_.StopAccepting();
   caller_server_.CloseIdle();
   const auto is_busy = [this] {
--- a/tests/src/process-platform.cpp
+++ b/tests/src/process-platform.cpp
@@ -3,9 +3,12 @@
 #include <gtest/gtest.h>
 #include <signal.h>
 
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <future>
 #include <thread>
 
+#include "src/net/runtime.h"
 #include "tests/support/platform_fleet.h"
 
 namespace beryllane::testing {
@@ -386,6 +389,33 @@
   EXPECT_EQ(fleet_.router(0).Wait(), 0);
 }
 
+// The body is complete only after the router has stopped accepting.
+TEST_F(Platform, ARequestThatIsCompleteLateInAGracefulStopIsRefusedAsNotRun) {
+  SetAllRunners({{"step_ms", 250}});
+  auto running = std::async(std::launch::async,
+                            [&] { return fleet_.Ask(0, "/chat/x", "long"); });
+  EXPECT_TRUE(Eventually([&] { return fleet_.RunsOf("long") > 0; }));
+  net::asio::io_context loop(1);
+  net::tcp::socket socket(loop);
+  const net::Address& router = fleet_.router_address(0);
+  socket.connect({net::asio::ip::make_address(router.ip), router.port});
+  const std::string head =
+      "POST /book/x HTTP/1.1\r\nHost: shop.example\r\nCredential: "
+      "key-of-workshop\r\nAttempt-Id: late\r\nContent-Length: 2\r\n\r\na";
+  net::asio::write(socket, net::asio::buffer(head));
+  std::this_thread::sleep_for(milliseconds(100));
+  fleet_.router(0).Signal(SIGTERM);
+  std::this_thread::sleep_for(milliseconds(3500));
+  net::asio::write(socket, net::asio::buffer("b", 1));
+  std::string received;
+  net::error_code code;
+  net::asio::read(socket, net::asio::dynamic_buffer(received), code);
+  EXPECT_TRUE(received.starts_with("HTTP/1.1 503")) << received;
+  EXPECT_EQ(fleet_.RunsOf("late"), 0);
+  EXPECT_EQ(running.get().value().body(), PlatformFleet::WholeStream());
+  EXPECT_EQ(fleet_.router(0).Wait(), 0);
+}
+
 // A stream that lasts longer than the balancer takes to notice.
 TEST_F(Platform, AGracefulStopWaitsForALongStream) {
   SetAllRunners({{"step_ms", 220}});
