--- a/tests/src/unit-platform_codec.cpp
+++ b/tests/src/unit-platform_codec.cpp
@@ -2,6 +2,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <nlohmann/json.hpp>
+
 #include "platform/base64.h"
 #include "platform/cache_codec.h"
 #include "platform/config_codec.h"
@@ -13,6 +15,7 @@
 namespace beryllane::platform {
 namespace {
 
+using nlohmann::json;
 using std::chrono::milliseconds;
 
 constexpr const char* kSettingsText = R"(
@@ -132,6 +135,44 @@
           .ok());
 }
 
+// An entry that is decoded, with one field replaced.
+std::string EntryWith(const std::string& field, const std::string& value) {
+  json entry{{"service", "desk"}, {"address", "10.0.0.1:80"}, {"zone", "za"},
+             {"slots", 8},        {"state", "ready"},         {"sequence", 1},
+             {"born", 5},         {"models", json::array()}};
+  entry[field] = "@";
+  std::string text = entry.dump();
+  text.replace(text.find("\"@\""), 3, value);
+  return text;
+}
+
+TEST(PlatformTargets, OddEntriesNameNoTargetAndEndNothing) {
+  ASSERT_TRUE(DecodeTarget("i", EntryWith("slots", "8")).ok());
+  const std::string deep = std::string(100000, '[') + std::string(100000, ']');
+  const std::vector<std::pair<std::string, std::string>> odd{
+      {"address", R"("10.0.0.1:0")"},
+      {"address", R"("10.0.0.1:65536")"},
+      {"address", R"("10.0.0.1:-1")"},
+      {"slots", "1e300"},
+      {"slots", "1e400"},
+      {"slots", "-1"},
+      {"slots", "4294967304"},
+      {"sequence", "-1"},
+      {"sequence", "18446744073709551616"},
+      {"born", "1e300"},
+      {"models", R"([{"name":"m","version":-1}])"},
+      {"models", R"([{"name":"m","version":1e30}])"},
+      {"models", deep},
+      {"address", deep},
+      {"other", deep + "]"}};
+  for (const auto& [field, value] : odd) {
+    EXPECT_FALSE(DecodeTarget("i", EntryWith(field, value)).ok())
+        << field << " " << value.substr(0, 40);
+  }
+  EXPECT_FALSE(DecodeTarget("i", deep).ok());
+  EXPECT_TRUE(DecodeTarget("i", EntryWith("other", deep)).ok());
+}
+
 TEST(PlatformConfig, RoutesAccountsAndLimitsAreDecoded) {
   const auto record = DecodeOperatorRecord("config",
                                            R"({"version":7,"routes":[
