Skip records of other writers among registrations and leases

Callers: none that was seen. A record of another type in one of the routers' own topics ended the coroutine that read it: the router sent and read no hints any more, or rolled out no weights.

Cause: fields were read with a default, which throws if the type differs.

Change: the types are checked. No test shows it.

--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -134,10 +134,12 @@
   for (const auto& record : listed.value().records) {
     known_hosts_.insert(record.key);
     const json body = json::parse(record.value, nullptr, false);
-    const bool is_earlier = record.offset < appended.value().offset &&
-                            record.key != self_.host_id && body.is_object();
-    if (!is_earlier) continue;
-    const std::string address = body.value("address", "");
+    const bool is_valid = body.is_object() && body.contains("address") &&
+                          body["address"].is_string();
+    const bool is_earlier =
+        record.offset < appended.value().offset && record.key != self_.host_id;
+    if (!is_valid || !is_earlier) continue;
+    const std::string address = body["address"];
     const bool is_connected = address == self_.bus_address ||
                               routers_.contains(record.key) ||
                               !dialed_.insert(address).second;
--- a/src/fleet/weights_rollout.cc
+++ b/src/fleet/weights_rollout.cc
@@ -165,8 +165,11 @@
   for (const auto& record : page.records) {
     const json body = json::parse(record.value, nullptr, false);
     if (!body.is_object()) continue;
-    lease_.OnRecord(body.value("holder", ""), record.offset, seen,
-                    body.value("era", std::uint64_t{0}));
+    const json holder = body.value("holder", json());
+    // Routers of earlier releases name no era.
+    const json era = body.value("era", json(lease_.era()));
+    if (!holder.is_string() || !era.is_number_unsigned()) continue;
+    lease_.OnRecord(holder, record.offset, seen, era);
   }
   if (page.next > lease_.end()) lease_.OnLogEnd(page.next);
   has_read_lease_ = true;
