Let the test of a pause begin after the hand-over time of the lease

PausedTargets.NothingReachesOneUntilItsEndAndTrafficReturns failed once, beside load: two runners had no new weights 2.5 s after these were named.

The test named weights right after the routers had started and took it for granted that the first order goes out at once.

Change: the test waits for that time first. Its checks and bounds are as before.

--- a/tests/src/process-pause.cpp
+++ b/tests/src/process-pause.cpp
@@ -14,6 +14,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kPause{3000};
+// Lifetime of a lease, the gap of this fleet, and the margin for clocks.
+constexpr milliseconds kHandover{1200 + 1000 + 200};
 // What a router may still send to a target that asked for a pause.
 constexpr std::size_t kMaxArrivals = 2;
 
@@ -79,6 +81,8 @@
 };
 
 TEST_F(PausedTargets, NothingReachesOneUntilItsEndAndTrafficReturns) {
+  // Routers that have just started give no orders yet.
+  std::this_thread::sleep_for(kHandover);
   const Load load(fleet_, "/advice/x");
   PauseRunners(1, kPause);
   const auto before_end =
