Accept all waiting connections in one turn of the loop

What callers saw: on a host short of processor time requests waited in the accept queue, past their time-out, while the measured lag of the loop stayed small, so that nothing was shed. Cause: an asynchronous accept takes one connection in each pass over the loop's queue; with N waiting the last one is read after N passes. LoopLag measures one pass. Change: after each asynchronous accept, what waits already is accepted until the queue is empty, 256 at most. A connection counts from its accept on, so that max_connections holds within one turn.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -229,6 +229,7 @@
   if (!code) acceptor_->set_option(tcp::acceptor::reuse_address(true), code);
   if (!code) acceptor_->bind(endpoint, code);
   if (!code) acceptor_->listen(asio::socket_base::max_listen_connections, code);
+  if (!code) acceptor_->non_blocking(true, code);
   if (code) {
     return Error{ErrorId::kSettingInvalid,
                  fmt::format("cannot listen on {}: {}", ToString(address),
@@ -261,25 +262,44 @@
 asio::awaitable<void> HttpServer::AcceptLoop() {
   constexpr std::chrono::milliseconds kPauseWithoutDescriptors{50};
   while (acceptor_->is_open()) {
-    Shard& shard = *shards_[next_shard_++ % shards_.size()];
+    Shard& shard = NextShard();
     auto [code, socket] =
         co_await acceptor_->async_accept(*shard.context, kAsTuple);
-    if (code) {
-      if (!acceptor_->is_open()) co_return;
-      co_await Sleep(kPauseWithoutDescriptors);
-      continue;
-    }
-    if (connections_.load() >=
-        static_cast<std::int64_t>(limits_.max_connections)) {
-      continue;  // The socket closes; a balancer tries another host.
-    }
-    asio::co_spawn(*shard.context, Serve(std::move(socket), shard),
-                   asio::detached);
+    if (!code) Start(std::move(socket), shard);
+    if (!acceptor_->is_open()) co_return;
+    if (code || !AcceptWaiting()) co_await Sleep(kPauseWithoutDescriptors);
   }
 }
 
-asio::awaitable<void> HttpServer::Serve(tcp::socket socket, Shard& shard) {
+bool HttpServer::AcceptWaiting() {
+  // An asynchronous accept takes one connection in each turn of the loop, so
+  // that on a busy loop they would wait where its lag does not show.
+  constexpr int kMaxAccepts = 256;
+  for (int i = 0; i < kMaxAccepts; ++i) {
+    Shard& shard = NextShard();
+    error_code code;
+    tcp::socket socket = acceptor_->accept(*shard.context, code);
+    if (code == asio::error::would_block) return true;
+    // The peer has gone while it waited.
+    if (code == asio::error::connection_aborted) continue;
+    if (code) return false;
+    Start(std::move(socket), shard);
+  }
+  return true;
+}
+
+void HttpServer::Start(tcp::socket socket, Shard& shard) {
+  if (connections_.load() >=
+      static_cast<std::int64_t>(limits_.max_connections)) {
+    return;  // The socket closes; a balancer tries another host.
+  }
+  // Counted here, as the connection may start on another loop.
   connections_.fetch_add(1);
+  asio::co_spawn(*shard.context, Serve(std::move(socket), shard),
+                 asio::detached);
+}
+
+asio::awaitable<void> HttpServer::Serve(tcp::socket socket, Shard& shard) {
   error_code ignored;
   SetStreamOptions(socket);
   Session session(std::move(socket), shard);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -142,6 +142,11 @@
   };
 
   asio::awaitable<void> AcceptLoop();
+  // Accepts what waits already; false if descriptors have run out.
+  bool AcceptWaiting();
+  // Serves a new connection, or closes it if there are too many.
+  void Start(tcp::socket socket, Shard& shard);
+  Shard& NextShard() { return *shards_[next_shard_++ % shards_.size()]; }
   asio::awaitable<void> Serve(tcp::socket socket, Shard& shard);
   asio::awaitable<bool> ServeOne(Session& session);
   asio::awaitable<bool> WaitForRequest(Session& session);
--- a/tests/src/unit-http_server.cpp
+++ b/tests/src/unit-http_server.cpp
@@ -1,5 +1,12 @@
 #include <gtest/gtest.h>
 
+#include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <vector>
+
 #include "beryllane/invariant/invariant.h"
 #include "src/net/http_server.h"
 #include "tests/support/fleet.h"
@@ -60,5 +67,46 @@
   EXPECT_EQ(Violations(), before + 2);
 }
 
+asio::awaitable<void> CountTurns(const std::atomic<int>& answered, int until,
+                                 int& turns) {
+  while (answered < until) {
+    ++turns;
+    co_await asio::post(asio::use_awaitable);
+  }
+}
+
+TEST(HttpServer, ConnectionsThatWaitAreAcceptedTogether) {
+  constexpr int kConnections = 40;
+  constexpr int kAnswers = 2 * kConnections;
+  ContextPool pool(1);
+  std::atomic<int> answered = 0;
+  const Handler handler = [&](Exchange& exchange) -> asio::awaitable<void> {
+    Response response = MakeResponse(200, "", "text/plain");
+    co_await exchange.Respond(std::move(response));
+    ++answered;
+  };
+  HttpServer server(pool, {}, handler, [](const Error& error) {
+    return MakeResponse(400, error.message, "text/plain");
+  });
+  const auto address = server.Listen({"127.0.0.1", 0});
+  ASSERT_TRUE(address.ok());
+  asio::io_context callers;
+  std::vector<tcp::socket> sockets;
+  for (int i = 0; i < kConnections; ++i) {
+    sockets.emplace_back(callers);
+    sockets.back().connect(
+        {asio::ip::make_address(address.value().ip), address.value().port});
+    asio::write(sockets.back(), asio::buffer(std::string_view(kRequests)));
+  }
+  int turns = 0;
+  asio::co_spawn(pool.at(0), CountTurns(answered, kAnswers, turns),
+                 asio::detached);
+  pool.Start();
+  EXPECT_TRUE(testing::Eventually([&] { return answered >= kAnswers; }));
+  pool.Stop();
+  pool.Join();
+  EXPECT_LT(turns, kConnections / 2);
+}
+
 }  // namespace
 }  // namespace beryllane::net
