End a limit that no answer of its target confirms

What callers saw: a router held a target's limit for a minute and more after its end, so that the target got less than it took (Limit.TrafficGoesToRunnersWithoutALimitAndReturns- WhenItEnds under AddressSanitizer, once). Causes, all in SharedLimit, each shown by a test: (1) a lift heard from a peer left no mark, so a report that another peer had sent shortly before set the limit again, and a router that sends the target nothing never got an answer that ended it; (2) peers that had only heard of a limit confirmed it to each other each 400 ms, and an answer without a limit counts only if its request was sent after the latest confirmation: with answers slower than that the limit never ended; (3) nothing ended a limit whose lift was lost. Change: a report states the age of the answer that the reporting router itself got; reports without one tell demand alone. A lift leaves a mark like an own answer. A router without demand ends a limit that no answer to any router has named for 10 s; one with demand gets answers itself. Reports of routers of earlier versions count as answered now.

--- a/include/beryllane/limit/shared_limit.h
+++ b/include/beryllane/limit/shared_limit.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 
 #include "beryllane/clock/runtime_clock.h"
 #include "beryllane/limit/expiring_sum.h"
@@ -36,6 +37,8 @@
  public:
   /// A report of another host's demand is valid for this long.
   static constexpr std::chrono::milliseconds kReportLifetime{1500};
+  /// A demand below this, in requests per second, is not reported.
+  static constexpr double kMinReportedDemand = 0.05;
   /// Used for lower limits, so that an answer tells when they end.
   static constexpr double kMinPerSecond = 0.2;
   /// Requests that an idle host may save up, as time at its share.
@@ -43,9 +46,12 @@
   /// Saved requests that are kept for large ones (trunk reservation): a limit
   /// counts requests, so each should carry as much work as possible.
   static constexpr double kReserve = 1;
-  /// Limits heard from other hosts within this time after an own answer are
-  /// older than the answer.
+  /// Maximum delay of a peer's report. Limits heard from peers within this time
+  /// after an answer to this host, or after the limit's end, may be older.
   static constexpr std::chrono::milliseconds kPeerLag{1000};
+  /// A limit that no answer to any host has named for this long ends at a host
+  /// that sends the target nothing and so gets no answers itself.
+  static constexpr std::chrono::milliseconds kUnconfirmedLifetime{10000};
 
   /// An answer to a request that was sent at `sent_at` named a limit of
   /// `per_second`; `per_second` is negative if it named none. Returns whether
@@ -53,14 +59,24 @@
   bool OnAnswer(double per_second, RuntimeClock::time_point sent_at,
                 RuntimeClock::time_point now);
   /// Peer `peer` reported the limit, negative if it is lifted, and its own
-  /// demand. @pre none.
+  /// demand. `answer_age` is the time since the answer to the peer that named
+  /// or lifted the limit; `nullopt` if the peer only heard of it, in which case
+  /// the report confirms nothing. @pre none.
   void OnPeerReport(std::uint32_t peer, double per_second, double demand,
+                    std::optional<std::chrono::nanoseconds> answer_age,
                     RuntimeClock::time_point now);
+  /// Ends a limit that has not been confirmed for `kUnconfirmedLifetime` and
+  /// for which this host has no demand; returns whether it did. @pre none.
+  bool EndIfUnconfirmed(RuntimeClock::time_point now);
 
   /// Whether a limit is in force. @pre none.
   bool is_set() const { return per_second_ >= 0; }
   /// The limit in requests per second of all hosts. @pre `is_set()`.
   double per_second() const { return per_second_; }
+  /// Time since an answer to this host last named or lifted the limit;
+  /// `nullopt` if none did since the limit was set. @pre none.
+  std::optional<std::chrono::nanoseconds> AnswerAge(
+      RuntimeClock::time_point now) const;
   /// Counts a request for which the target is the best choice. @pre none.
   void CountDemand(RuntimeClock::time_point now) { demand_.Count(now); }
   /// This host's demand in requests per second. @pre none.
@@ -83,18 +99,21 @@
                                       RuntimeClock::time_point now);
 
  private:
-  void Set(double per_second, RuntimeClock::time_point now);
-  void Lift();
+  void Set(double per_second, RuntimeClock::time_point named_at,
+           RuntimeClock::time_point now);
+  void Lift(RuntimeClock::time_point now);
   void Refill(const PeerActivity& peers, RuntimeClock::time_point now);
 
   // Negative if there is no limit.
   double per_second_ = -1;
   // When the limit came into force.
   RuntimeClock::time_point set_at_;
-  // When the limit was last named, by an answer to this host or by a peer.
+  // When an answer to any host last named the limit, as far as is known.
   RuntimeClock::time_point named_at_;
-  // When an answer to this host last named it.
-  RuntimeClock::time_point answered_at_;
+  // When an answer to this host last named or lifted it.
+  std::optional<RuntimeClock::time_point> answered_at_;
+  // Latest answer to this host or end of the limit.
+  RuntimeClock::time_point settled_at_;
   DecayingRate demand_;
   ExpiringSum<double> peer_demands_{kReportLifetime};
   double tokens_ = 0;
--- a/src/coordination/shared_limit.cc
+++ b/src/coordination/shared_limit.cc
@@ -29,40 +29,65 @@
 bool SharedLimit::OnAnswer(double per_second, RuntimeClock::time_point sent_at,
                            RuntimeClock::time_point now) {
   const double before = per_second_;
-  answered_at_ = now;
+  settled_at_ = now;
   if (per_second >= 0) {
-    Set(per_second, now);
+    Set(per_second, now, now);
+    answered_at_ = now;
   } else if (is_set() && sent_at > named_at_) {
     // Answers may overtake each other. Only a request that was sent after the
     // limit was named shows by its answer that the limit has ended.
-    Lift();
+    Lift(now);
+    answered_at_ = now;
   }
   return per_second_ != before;
 }
 
-void SharedLimit::OnPeerReport(std::uint32_t peer, double per_second,
-                               double demand, RuntimeClock::time_point now) {
+void SharedLimit::OnPeerReport(
+    std::uint32_t peer, double per_second, double demand,
+    std::optional<std::chrono::nanoseconds> answer_age,
+    RuntimeClock::time_point now) {
   if (per_second < 0) {
-    if (is_set()) Lift();
+    if (is_set()) Lift(now);
     return;
   }
   peer_demands_.Set(peer, std::max(demand, kIdleDemandPerSecond), now);
-  const bool is_outdated = now - answered_at_ < kPeerLag;
-  if (!is_outdated) Set(per_second, now);
+  if (!answer_age) return;
+  const auto named_at = now - *answer_age;
+  const bool is_outdated =
+      named_at <= settled_at_ || now - settled_at_ < kPeerLag;
+  if (!is_outdated) Set(per_second, named_at, now);
 }
 
-void SharedLimit::Set(double per_second, RuntimeClock::time_point now) {
+bool SharedLimit::EndIfUnconfirmed(RuntimeClock::time_point now) {
+  const bool is_unconfirmed =
+      is_set() && now - named_at_ >= kUnconfirmedLifetime;
+  if (!is_unconfirmed || Demand(now) >= kMinReportedDemand) return false;
+  Lift(now);
+  return true;
+}
+
+std::optional<std::chrono::nanoseconds> SharedLimit::AnswerAge(
+    RuntimeClock::time_point now) const {
+  if (!answered_at_) return std::nullopt;
+  return now - *answered_at_;
+}
+
+void SharedLimit::Set(double per_second, RuntimeClock::time_point named_at,
+                      RuntimeClock::time_point now) {
   if (!is_set()) {
     tokens_ = 0;
     set_at_ = now;
     refilled_at_ = now;
+    answered_at_.reset();
   }
   per_second_ = std::max(per_second, kMinPerSecond);
-  named_at_ = now;
+  named_at_ = std::max(named_at_, named_at);
 }
 
-void SharedLimit::Lift() {
+void SharedLimit::Lift(RuntimeClock::time_point now) {
   per_second_ = -1;
+  settled_at_ = now;
+  answered_at_.reset();
   peer_demands_.Clear();
 }
 
--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -15,7 +15,9 @@
 
 using net::asio::awaitable;
 using nlohmann::json;
+using std::chrono::duration_cast;
 using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
 using telemetry::Level;
 
 // Loads change over the duration of a request, so shorter intervals improve
@@ -49,12 +51,12 @@
 constexpr const char* kLease = "e";
 constexpr const char* kLimits = "m";
 constexpr const char* kLeaving = "g";
-// Demand in requests per second below which a report does not list a target.
-constexpr double kMinReportedDemand = 0.05;
 // Whether a message names a single limit and is no report of all.
 constexpr bool kIsOneLimit = true;
 // Limit that stands for none.
 constexpr double kNoLimit = -1;
+// Answer age that stands for none.
+constexpr std::int64_t kNoAnswer = -1;
 // A router that was heard from within this time may still send requests to
 // targets.
 constexpr milliseconds kSenderTimeout{5000};
@@ -96,6 +98,7 @@
     const auto interval = std::clamp(routers * kBatchIntervalPerRouter,
                                      kBatchInterval, kMaxBatchInterval);
     fleet_.peer_activity().set_live(LivePeers());
+    EndUnconfirmedLimits();
     const bool is_due = RuntimeClock::now() - sent_at_ >= interval;
     if (is_due || !new_parts_.empty()) SendBatch();
   }
@@ -237,8 +240,11 @@
 
 json Peers::LimitReport(const Runner& runner) {
   const SharedLimit& limit = runner.limit;
+  const auto now = RuntimeClock::now();
+  const auto age = limit.AnswerAge(now);
   return {runner.id_hash, limit.is_set() ? limit.per_second() : kNoLimit,
-          limit.Demand(RuntimeClock::now())};
+          limit.Demand(now),
+          age ? duration_cast<milliseconds>(*age).count() : kNoAnswer};
 }
 
 bool Peers::HasLimits() const {
@@ -248,12 +254,26 @@
   });
 }
 
+void Peers::EndUnconfirmedLimits() {
+  const auto now = RuntimeClock::now();
+  if (now - limits_checked_at_ < kLimitInterval) return;
+  limits_checked_at_ = now;
+  for (const auto& [id, runner] : fleet_.targets()) {
+    if (!runner->limit.EndIfUnconfirmed(now)) continue;
+    telemetry::Log(Level::kInfo, telemetry::event::kTargetLimit,
+                   {{"target", id},
+                    {"requests_per_second", kNoLimit},
+                    {"reason", "no answer has named it lately"}});
+  }
+}
+
 json Peers::LimitReports() const {
   const auto now = RuntimeClock::now();
   json limits = json::array();
   for (const auto& [id, runner] : fleet_.targets()) {
-    const bool is_listed = runner->limit.is_set() &&
-                           runner->limit.Demand(now) >= kMinReportedDemand;
+    const bool is_listed =
+        runner->limit.is_set() &&
+        runner->limit.Demand(now) >= SharedLimit::kMinReportedDemand;
     if (is_listed) limits.push_back(LimitReport(*runner));
   }
   return limits;
@@ -265,7 +285,13 @@
   for (const json& report : reports.at(1)) {
     Runner* runner = fleet_.FindByHash(report.at(0).get<std::uint64_t>());
     if (runner == nullptr) continue;
-    runner->limit.OnPeerReport(peer, report.at(1), report.at(2), now);
+    // Routers of earlier versions do not state the age.
+    const std::int64_t age =
+        report.size() > 3 ? report.at(3).get<std::int64_t>() : 0;
+    std::optional<nanoseconds> answer_age;
+    if (age != kNoAnswer) answer_age = milliseconds(age);
+    runner->limit.OnPeerReport(peer, report.at(1), report.at(2), answer_age,
+                               now);
   }
   const bool is_one = reports.size() > 2 && reports.at(2) == kIsOneLimit;
   if (!is_one) fleet_.peer_activity().OnReport(peer, now);
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -139,12 +139,15 @@
   // Registers again each time that the store returns from an older copy.
   net::asio::awaitable<void> RegisterAfterRestores();
   void SendBatch();
-  // Limit of a target and this router's demand for it.
+  // Limit of a target, this router's demand for it, and the time since an
+  // answer to this router named it.
   static nlohmann::json LimitReport(const Runner& runner);
   // Whether a target named a limit.
   bool HasLimits() const;
   // Loads and cached parts of targets, which only improve placement.
   void ReceiveHints(const nlohmann::json& body, const Router& sender);
+  // Ends limits that no answer to any router confirms any more.
+  void EndUnconfirmedLimits();
   // Limits of the targets for which this router has demand.
   nlohmann::json LimitReports() const;
   void ReceiveLimits(const nlohmann::json& reports);
@@ -169,6 +172,7 @@
   RuntimeClock::time_point started_at_ = RuntimeClock::now();
   RuntimeClock::time_point sent_at_;
   RuntimeClock::time_point limits_sent_at_;
+  RuntimeClock::time_point limits_checked_at_;
   RuntimeClock::time_point rollout_announced_at_;
   std::map<std::string, FieldHandler> handlers_;
   const net::LoopLag* loop_lag_ = nullptr;
--- a/tests/src/unit-shared_limit.cpp
+++ b/tests/src/unit-shared_limit.cpp
@@ -15,6 +15,7 @@
 using TimePoint = RuntimeClock::time_point;
 
 constexpr double kLifted = -1;
+constexpr milliseconds kJustNow{0};
 
 TimePoint At(int millis) { return TimePoint(milliseconds(millis)); }
 
@@ -73,6 +74,7 @@
     std::size_t from;
     double per_second;
     double demand;
+    std::optional<std::chrono::nanoseconds> answer_age;
   };
 
   void TrySend(std::size_t host) {
@@ -92,7 +94,8 @@
       for (std::size_t i = 0; i < hosts_.size(); ++i) {
         if (is_down_[i] || !hosts_[i].is_set()) continue;
         messages_.push_back({now_ + report_delay_, i, hosts_[i].per_second(),
-                             hosts_[i].Demand(now_)});
+                             hosts_[i].Demand(now_),
+                             hosts_[i].AnswerAge(now_)});
       }
     }
     for (; !messages_.empty() && messages_.front().due <= now_;
@@ -101,7 +104,8 @@
       for (std::size_t i = 0; i < hosts_.size(); ++i) {
         if (i == message.from || is_down_[i]) continue;
         const auto peer = static_cast<std::uint32_t>(message.from);
-        hosts_[i].OnPeerReport(peer, message.per_second, message.demand, now_);
+        hosts_[i].OnPeerReport(peer, message.per_second, message.demand,
+                               message.answer_age, now_);
         activity_[i].OnReport(peer, now_);
       }
     }
@@ -190,14 +194,50 @@
   SharedLimit limit;
   limit.OnAnswer(3, At(1000), At(1100));
   limit.OnAnswer(kLifted, At(1300), At(1400));
-  limit.OnPeerReport(7, 3, 1, At(1500));
+  limit.OnPeerReport(7, 3, 1, kJustNow, At(1500));
   EXPECT_FALSE(limit.is_set());
-  limit.OnPeerReport(7, 3, 1, At(2500));
+  limit.OnPeerReport(7, 3, 1, kJustNow, At(2500));
   EXPECT_TRUE(limit.is_set());
-  limit.OnPeerReport(7, kLifted, 0, At(2600));
+  limit.OnPeerReport(7, kLifted, 0, kJustNow, At(2600));
   EXPECT_FALSE(limit.is_set());
 }
 
+TEST(SharedLimit, AReportSentBeforeAPeerLiftedItDoesNotRestoreIt) {
+  SharedLimit limit;
+  limit.OnPeerReport(7, 3, 1, kJustNow, At(10000));
+  limit.OnPeerReport(8, kLifted, 0, kJustNow, At(20000));
+  limit.OnPeerReport(7, 3, 1, kJustNow, At(20010));
+  EXPECT_FALSE(limit.is_set());
+  limit.OnPeerReport(7, 3, 1, seconds(5), At(22000));
+  EXPECT_FALSE(limit.is_set());
+}
+
+TEST(SharedLimit, PeersThatOnlyHeardOfItDoNotKeepItFromEnding) {
+  SharedLimit limit;
+  limit.OnAnswer(3, At(1000), At(1100));
+  limit.OnPeerReport(7, 3, 1, std::nullopt, At(2200));
+  EXPECT_TRUE(limit.OnAnswer(kLifted, At(2000), At(2300)));
+  EXPECT_FALSE(limit.is_set());
+}
+
+TEST(SharedLimit, OneThatNoAnswerConfirmsEndsWhereNothingIsSent) {
+  SharedLimit limit;
+  limit.OnPeerReport(7, 3, 1, kJustNow, At(10000));
+  limit.OnPeerReport(7, 3, 1, std::nullopt, At(15000));
+  EXPECT_FALSE(limit.EndIfUnconfirmed(At(19999)));
+  EXPECT_TRUE(limit.EndIfUnconfirmed(At(20000)));
+  EXPECT_FALSE(limit.is_set());
+}
+
+TEST(SharedLimit, AConfirmedOneDoesNotEndByItself) {
+  SharedLimit limit;
+  limit.OnPeerReport(7, 3, 1, kJustNow, At(10000));
+  limit.OnPeerReport(8, 3, 1, seconds(2), At(19000));
+  EXPECT_FALSE(limit.EndIfUnconfirmed(At(26999)));
+  limit.CountDemand(At(26900));
+  EXPECT_FALSE(limit.EndIfUnconfirmed(At(27000)));
+}
+
 TEST(SharedLimit, ALimitOfZeroStillLetsARequestAskWhetherItHolds) {
   SharedLimit limit;
   limit.OnAnswer(0, At(1000), At(1000));
