Read the first records after a start from a router of the zone

Cause: each router read all pages of the targets', the operator's, the quarantine's and the routers' own topics from the store (pages of 50 entries), and followed them there until it had heard another router of its zone. Change: a router registers with its zone and relay address and reads the log of registrations in one call where the store still keeps it. It then asks a router of its zone that registered earlier for the newest records, which the relay now keeps by key, beside the latest ones. The earliest, which reads for the zone, is asked first, others in turn; one that does not answer is tried last. After 2.5 s without an answer the store is read as before. Freshness is counted from the proof that the other router states. Until others are heard, the router that served the first records stays the source. Found beside: the relay's era was set by the operator's records alone, so that targets or verdicts that were read first were forgotten; each first page sets it now. A relayed page is not applied where the offset moved while it was on its way.

--- a/src/fleet/fleet_node.cc
+++ b/src/fleet/fleet_node.cc
@@ -208,9 +208,7 @@
   using net::asio::co_spawn;
   using net::asio::detached;
   co_spawn(loop, loop_lag_.Run(), detached);
-  co_spawn(loop, follower_.FollowOperator(), detached);
-  co_spawn(loop, follower_.FollowTargets(), detached);
-  co_spawn(loop, follower_.FollowQuarantine(), detached);
+  co_spawn(loop, follower_.Run(), detached);
   co_spawn(loop, peers_.Run(), detached);
   co_spawn(loop, quarantine_.Run(), detached);
   co_spawn(loop, cache_follower_.Run(), detached);
--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -124,40 +124,95 @@
 // before it. Each pair thus has one connection, and no router has to read the
 // list a second time.
 awaitable<bool> Peers::Register() {
-  std::string topic(platform::kPeerTopic);
-  std::string value = json{{"address", self_.bus_address}}.dump();
-  auto appended =
-      co_await store_.Append(topic, self_.host_id, value, std::nullopt);
+  std::string value = json{{"address", self_.bus_address},
+                           {"zone", self_.availability_zone},
+                           {"relay", self_.relay_address}}
+                          .dump();
+  auto appended = co_await store_.Append(std::string(platform::kPeerTopic),
+                                         self_.host_id, value, std::nullopt);
   if (!appended.ok()) co_return false;
-  auto listed = co_await store_.ReadNewest(topic);
-  if (!listed.ok()) co_return false;
-  constexpr int kOffsetBits = 32;
-  registration_rank_ =
-      store_.era().number << kOffsetBits | appended.value().offset;
-  for (const auto& record : listed.value().records) {
+  const std::uint64_t own_offset = appended.value().offset;
+  const auto registrations = co_await ReadRegistrations(own_offset);
+  if (!registrations) co_return false;
+  // Ordered by the offset of the newest registration.
+  std::map<std::uint64_t, std::string> sources;
+  std::map<std::string, std::uint64_t> newest;
+  for (const auto& record : *registrations) {
     known_hosts_.insert(record.key);
     const json body = json::parse(record.value, nullptr, false);
     const bool is_valid = body.is_object() && body.contains("address") &&
                           body["address"].is_string();
     const bool is_earlier =
-        record.offset < appended.value().offset && record.key != self_.host_id;
+        record.offset < own_offset && record.key != self_.host_id;
     if (!is_valid || !is_earlier) continue;
-    const std::string address = body["address"];
-    const bool is_connected = address == self_.bus_address ||
-                              routers_.contains(record.key) ||
-                              !dialed_.insert(address).second;
-    if (is_connected) continue;
-    auto dialed = bus_.Dial(address);
-    if (!dialed.ok()) {
-      telemetry::Log(Level::kWarning, telemetry::event::kRecordIgnored,
-                     {{"topic", "peers"},
-                      {"key", record.key},
-                      {"message", dialed.error().message}});
-    }
+    Connect(body["address"], record.key);
+    // Routers of earlier versions register without zone and relay.
+    const json relay = body.value("relay", json());
+    const bool is_in_zone =
+        body.value("zone", json()) == self_.availability_zone;
+    const auto [known, is_new] = newest.try_emplace(record.key, record.offset);
+    if (!is_new) sources.erase(std::exchange(known->second, record.offset));
+    if (is_in_zone && relay.is_string()) sources[record.offset] = relay;
   }
+  first_sources_.clear();
+  for (auto& [offset, relay] : sources) first_sources_.push_back(relay);
+  constexpr int kOffsetBits = 32;
+  registration_rank_ = store_.era().number << kOffsetBits | own_offset;
   co_return true;
 }
 
+awaitable<std::optional<std::vector<platform::KeyedRecord>>>
+Peers::ReadRegistrations(std::uint64_t own_offset) {
+  const std::string topic(platform::kPeerTopic);
+  // While the store keeps the whole log, a read or two return it; the newest
+  // record of each key takes a call for each page.
+  constexpr int kMaxReads = 3;
+  std::vector<platform::KeyedRecord> records;
+  std::uint64_t next = 0;
+  for (int i = 0; i < kMaxReads && next <= own_offset; ++i) {
+    auto read = co_await store_.Read(topic, next, milliseconds(0));
+    if (!read.ok()) co_return std::nullopt;
+    if (!read.value()) break;
+    for (auto& record : read.value()->records) {
+      records.push_back(std::move(record));
+    }
+    next = read.value()->next;
+  }
+  if (next > own_offset) co_return records;
+  auto newest = co_await store_.ReadNewest(topic);
+  if (!newest.ok()) co_return std::nullopt;
+  co_return std::move(newest.value().records);
+}
+
+void Peers::Connect(const std::string& address, const std::string& host) {
+  const bool is_connected = address == self_.bus_address ||
+                            routers_.contains(host) ||
+                            !dialed_.insert(address).second;
+  if (is_connected) return;
+  auto dialed = bus_.Dial(address);
+  if (!dialed.ok()) {
+    telemetry::Log(Level::kWarning, telemetry::event::kRecordIgnored,
+                   {{"topic", "peers"},
+                    {"key", host},
+                    {"message", dialed.error().message}});
+  }
+}
+
+std::optional<std::string> Peers::FirstSource(int attempt) const {
+  if (first_sources_.empty()) return std::nullopt;
+  if (attempt % 2 == 0) return first_sources_.front();
+  const std::uint64_t spread =
+      HashBytes(self_.host_id).low + static_cast<std::uint64_t>(attempt);
+  return first_sources_[spread % first_sources_.size()];
+}
+
+void Peers::PostponeSource(const std::string& relay_address) {
+  const auto source =
+      std::find(first_sources_.begin(), first_sources_.end(), relay_address);
+  if (source == first_sources_.end()) return;
+  std::rotate(source, std::next(source), first_sources_.end());
+}
+
 std::optional<std::string> Peers::ZoneReader() const {
   const auto now = RuntimeClock::now();
   const Router* reader = nullptr;
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -41,11 +41,24 @@
   /// The reader is the live router of the zone that registered first. @pre
   /// none.
   std::optional<std::string> ZoneReader() const;
+  /// Whether this router has registered and knows the routers that registered
+  /// before it. @pre none.
+  bool is_registered() const { return registration_rank_.has_value(); }
+  /// Relay address of a router of this zone from which to read the first
+  /// records after a start; `nullopt` if this router was the first of its zone
+  /// to register. Attempts alternate between the earliest, which is the reader
+  /// when all routers start at once, and another. @pre `is_registered()`;
+  /// `attempt` >= 0.
+  std::optional<std::string> FirstSource(int attempt) const;
+  /// Lets `FirstSource` prefer all others to a router that did not answer.
+  /// @pre none.
+  void PostponeSource(const std::string& relay_address);
   /// Number of routers ever seen, including this one. @pre none.
   std::size_t known_hosts() const { return known_hosts_.size(); }
-  /// Rank of this router by host id among the live routers, from 0. Routers may
-  /// disagree for a short time. Signed, as it scales times that may be
-  /// compared with negative ones. @pre none.
+  /// Rank of this router by host id among the live routers, from 0. Right after
+  /// the start, routers that registered before count as live until they could
+  /// be heard. Routers may disagree for a short time. Signed, as it scales
+  /// times that may be compared with negative ones. @pre none.
   int Rank() const;
   /// When another router last announced an order to a target, or that it holds
   /// the lease for orders. @pre none.
@@ -136,6 +149,12 @@
 
   // Registers this router and connects to those that registered before it.
   net::asio::awaitable<bool> Register();
+  // The registrations up to that of this router, at `own_offset`. May name a
+  // router more than once.
+  net::asio::awaitable<std::optional<std::vector<platform::KeyedRecord>>>
+  ReadRegistrations(std::uint64_t own_offset);
+  // Connects to a router that registered before this one.
+  void Connect(const std::string& address, const std::string& host);
   // Registers again each time that the store returns from an older copy.
   net::asio::awaitable<void> RegisterAfterRestores();
   void SendBatch();
@@ -167,6 +186,9 @@
   // Addresses to which connections were opened.
   std::set<std::string> dialed_;
   std::set<std::string> known_hosts_;
+  // Relay addresses of the routers of this zone that registered before this
+  // one, the earliest first, then those that did not answer.
+  std::vector<std::string> first_sources_;
   // Other routers from which a message was received, by host id.
   std::map<std::string, Router> routers_;
   RuntimeClock::time_point started_at_ = RuntimeClock::now();
--- a/src/fleet/record_relay.cc
+++ b/src/fleet/record_relay.cc
@@ -38,14 +38,42 @@
   return page;
 }
 
+json OffsetToJson(std::optional<std::uint64_t> offset) {
+  return offset ? json(*offset) : json();
+}
+
+std::optional<std::uint64_t> ToOffset(const json& value) {
+  if (value.is_null()) return std::nullopt;
+  return value.get<std::uint64_t>();
+}
+
 }  // namespace
 
+void RecordTail::Reset(const platform::RecordPage& newest) {
+  records_.clear();
+  first_ = newest.next;
+  end_ = newest.next;
+  newest_.emplace();
+  for (const auto& record : newest.records) {
+    if (!record.value.empty()) (*newest_)[record.key] = record;
+  }
+}
+
 void RecordTail::Add(std::uint64_t from, const platform::RecordPage& page) {
   if (from != end_) {
     records_.clear();
+    newest_.reset();
     first_ = from;
   }
-  for (const auto& record : page.records) records_.push_back(record);
+  for (const auto& record : page.records) {
+    records_.push_back(record);
+    if (!newest_) continue;
+    if (record.value.empty()) {
+      newest_->erase(record.key);
+    } else {
+      (*newest_)[record.key] = record;
+    }
+  }
   end_ = page.next;
   while (records_.size() > kMaxRecords) {
     first_ = records_.front().offset + 1;
@@ -64,9 +92,18 @@
   return page;
 }
 
+std::optional<platform::RecordPage> RecordTail::ReadNewest() const {
+  if (!newest_) return std::nullopt;
+  platform::RecordPage page;
+  page.next = end_;
+  for (const auto& [key, record] : *newest_) page.records.push_back(record);
+  return page;
+}
+
 std::string Encode(const RelayRequest& request) {
-  return Pack({request.operator_next, request.targets_next,
-               request.quarantine_next, request.era});
+  return Pack({OffsetToJson(request.operator_next),
+               OffsetToJson(request.targets_next),
+               OffsetToJson(request.quarantine_next), request.era});
 }
 
 std::string Encode(const RelayAnswer& answer) {
@@ -78,9 +115,8 @@
 std::optional<RelayRequest> DecodeRelayRequest(const std::string& message) {
   try {
     const json body = json::from_msgpack(message);
-    return RelayRequest{
-        body.at(0).get<std::uint64_t>(), body.at(1).get<std::uint64_t>(),
-        body.at(2).get<std::uint64_t>(), body.at(3).get<std::uint64_t>()};
+    return RelayRequest{ToOffset(body.at(0)), ToOffset(body.at(1)),
+                        ToOffset(body.at(2)), body.at(3).get<std::uint64_t>()};
   } catch (const json::exception&) {
     return std::nullopt;
   }
@@ -113,9 +149,9 @@
 std::string RecordRelay::Serve(const std::string& message) const {
   const auto request = DecodeRelayRequest(message);
   if (!request || !is_store_up_ || request->era != era_) return "";
-  auto operator_page = operator_tail_.ReadFrom(request->operator_next);
-  auto targets_page = targets_tail_.ReadFrom(request->targets_next);
-  auto quarantine_page = quarantine_tail_.ReadFrom(request->quarantine_next);
+  auto operator_page = operator_tail_.Read(request->operator_next);
+  auto targets_page = targets_tail_.Read(request->targets_next);
+  auto quarantine_page = quarantine_tail_.Read(request->quarantine_next);
   if (!operator_page || !targets_page || !quarantine_page) return "";
   RelayAnswer answer;
   answer.era = era_;
--- a/src/fleet/record_relay.h
+++ b/src/fleet/record_relay.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <limits>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -19,24 +20,36 @@
 
 namespace beryllane::fleet {
 
-/// Buffer of the newest records of one topic, ordered by offset. Not
-/// thread-safe.
+/// The newest record of each key of one topic, and a buffer of the newest
+/// records, ordered by offset. Not thread-safe.
 class RecordTail {
  public:
   /// Maximum number of records kept for followers.
   static constexpr std::size_t kMaxRecords = 1000;
 
+  /// Replaces everything by the newest record of each key. @pre none.
+  void Reset(const platform::RecordPage& newest);
   /// Appends a page that was read at offset `from`. If the page does not
   /// continue the previous one, earlier records are discarded. @pre none.
   void Add(std::uint64_t from, const platform::RecordPage& page);
   /// Returns the records from an offset on; `nullopt` if they are not all kept.
   /// @pre none.
   std::optional<platform::RecordPage> ReadFrom(std::uint64_t from) const;
+  /// Returns the newest record of each key, ordered by key; `nullopt` if they
+  /// are not known. @pre none.
+  std::optional<platform::RecordPage> ReadNewest() const;
+  /// Returns the records from an offset on or, without one, the newest of each
+  /// key; `nullopt` if they are not all kept. @pre none.
+  std::optional<platform::RecordPage> Read(
+      std::optional<std::uint64_t> from) const {
+    return from ? ReadFrom(*from) : ReadNewest();
+  }
   /// Offset after the newest record. @pre none.
   std::uint64_t end() const { return end_; }
   /// Forgets all records; nothing is served until the next `Add`. @pre none.
   void Clear() {
     records_.clear();
+    newest_.reset();
     first_ = kNothing;
     end_ = kNothing;
   }
@@ -48,13 +61,16 @@
   std::uint64_t first_ = 0;
   std::uint64_t end_ = 0;
   std::deque<platform::KeyedRecord> records_;
+  // By key.
+  std::optional<std::map<std::string, platform::KeyedRecord>> newest_;
 };
 
-/// Request of a follower: the next offset that it needs of each topic.
+/// Request of a follower: the next offset that it needs of each topic; none
+/// where it needs the newest record of each key.
 struct RelayRequest {
-  std::uint64_t operator_next = 0;
-  std::uint64_t targets_next = 0;
-  std::uint64_t quarantine_next = 0;
+  std::optional<std::uint64_t> operator_next = 0;
+  std::optional<std::uint64_t> targets_next = 0;
+  std::optional<std::uint64_t> quarantine_next = 0;
   /// Era of the store to which the offsets belong.
   std::uint64_t era = 0;
 };
--- a/src/fleet/store_follower.cc
+++ b/src/fleet/store_follower.cc
@@ -1,5 +1,7 @@
 #include "src/fleet/store_follower.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <set>
 #include <utility>
 
@@ -37,6 +39,12 @@
 // for a direct read it stays well below the bound within which a configuration
 // must be in force.
 constexpr milliseconds kMaxProofAge{1100};
+// The other routers have been heard of by then: several of their batches fit
+// in.
+constexpr milliseconds kStartTime{2500};
+// A router of the zone that starts, too, has read the store within some of
+// these intervals.
+constexpr milliseconds kFirstReadInterval{50};
 // If the store fails for longer, entries of live targets may have expired.
 constexpr milliseconds kMinOutage{800};
 // Live targets are listed again within two seconds of the store's recovery.
@@ -67,6 +75,31 @@
   reregistration_until_ = RuntimeClock::now() + kReregistrationTime;
 }
 
+awaitable<void> StoreFollower::Run() {
+  co_await ReadFirst();
+  const auto executor = co_await net::asio::this_coro::executor;
+  net::asio::co_spawn(executor, FollowTargets(), net::asio::detached);
+  net::asio::co_spawn(executor, FollowQuarantine(), net::asio::detached);
+  co_await FollowOperator();
+}
+
+awaitable<void> StoreFollower::ReadFirst() {
+  if (peers_ == nullptr) co_return;
+  for (int attempt = 0; RuntimeClock::now() - started_at_ < kStartTime;) {
+    if (peers_->is_registered()) {
+      const auto source = peers_->FirstSource(attempt++);
+      if (!source) co_return;
+      const RelayOutcome outcome = co_await ReadFrom(*source);
+      if (outcome == RelayOutcome::kRead) {
+        first_source_ = source;
+        co_return;
+      }
+      if (outcome == RelayOutcome::kNoAnswer) peers_->PostponeSource(*source);
+    }
+    co_await net::Sleep(kFirstReadInterval);
+  }
+}
+
 awaitable<void> StoreFollower::FollowOperator() {
   for (;;) {
     if (operator_next_ && IsRelayActive()) {
@@ -90,10 +123,7 @@
       co_return false;
     }
     SetStoreUp(true, "");
-    relay_.SetEra(store_.era().number);
-    for (const auto& record : page.value().records) ApplyOperator(record);
-    operator_next_ = page.value().next;
-    relay_.operator_tail().Add(*operator_next_, {{}, *operator_next_});
+    ApplyOperatorSet(page.value());
     freshness_.OnReadResponse(sent, false, {});
     // Reads the first list of targets over the open connection: opening another
     // may be slow while many hosts start at once.
@@ -186,9 +216,6 @@
     auto page = co_await store_.ReadNewest(std::string(platform::kTargetTopic));
     if (!page.ok()) co_return false;
     ApplyTargetSet(page.value());
-    targets_next_ = page.value().next;
-    relay_.targets_tail().Add(*targets_next_, {{}, *targets_next_});
-    has_targets_ = true;
     co_return true;
   }
   auto page = co_await store_.Read(std::string(platform::kTargetTopic),
@@ -227,10 +254,7 @@
   if (!quarantine_next_) {
     auto page = co_await store_.ReadNewest(topic);
     if (!page.ok()) co_return false;
-    quarantine_->OnRecordSet(page.value());
-    quarantine_next_ = page.value().next;
-    const platform::RecordPage empty{{}, *quarantine_next_};
-    relay_.quarantine_tail().Add(*quarantine_next_, empty);
+    ApplyQuarantineSet(page.value());
     co_return true;
   }
   const std::uint64_t from = *quarantine_next_;
@@ -255,43 +279,77 @@
   return relayed_at_ && RuntimeClock::now() - *relayed_at_ < kRelayLifetime;
 }
 
+std::optional<std::string> StoreFollower::Reader() const {
+  auto reader = peers_->ZoneReader();
+  const bool is_starting = RuntimeClock::now() - started_at_ < kStartTime;
+  return reader || !is_starting ? reader : first_source_;
+}
+
 awaitable<bool> StoreFollower::ReadFromRelay() {
   const bool has_read_all = operator_next_ && targets_next_ && quarantine_next_;
   if (peers_ == nullptr || !has_read_all) co_return false;
-  const auto reader = peers_->ZoneReader();
+  const auto reader = Reader();
   if (!reader) co_return false;
+  if (co_await ReadFrom(*reader) == RelayOutcome::kRead) co_return true;
+  peers_->ExcludeReader(*reader);
+  if (reader == first_source_) first_source_.reset();
+  relayed_at_.reset();
+  co_return false;
+}
+
+awaitable<StoreFollower::RelayOutcome> StoreFollower::ReadFrom(
+    std::string relay) {
   const auto sent = BootClock::now();
-  const RelayRequest request{*operator_next_, *targets_next_, *quarantine_next_,
+  const RelayRequest request{operator_next_, targets_next_, quarantine_next_,
                              store_.era().number};
   auto reply =
-      co_await relay_client_.Call(*reader, Encode(request), kRelayTimeout);
-  std::optional<RelayAnswer> answer;
-  if (reply.ok()) answer = DecodeRelayAnswer(reply.value());
+      co_await relay_client_.Call(relay, Encode(request), kRelayTimeout);
+  if (!reply.ok()) co_return RelayOutcome::kNoAnswer;
+  const auto answer = DecodeRelayAnswer(reply.value());
   const bool is_useful = answer && answer->proof_age >= milliseconds(0) &&
-                         answer->proof_age < kMaxProofAge &&
+                         answer->proof_age <= kMaxProofAge &&
                          answer->era == store_.era().number;
-  if (!is_useful) {
-    peers_->ExcludeReader(*reader);
-    relayed_at_.reset();
-    co_return false;
+  if (!is_useful) co_return RelayOutcome::kNothingUseful;
+  ApplyRelayed(request, *answer);
+  // The reader determined the age of its proof after the request was sent.
+  freshness_.OnReadResponse(sent - answer->proof_age, false, {});
+  relayed_at_ = RuntimeClock::now();
+  co_return RelayOutcome::kRead;
+}
+
+// An offset that has changed since the request was sent belongs to newer
+// records than the answer's.
+void StoreFollower::ApplyRelayed(const RelayRequest& request,
+                                 const RelayAnswer& answer) {
+  if (request.operator_next == operator_next_) {
+    if (operator_next_) {
+      for (const auto& record : answer.operator_page.records) {
+        ApplyOperator(record);
+      }
+      relay_.operator_tail().Add(*operator_next_, answer.operator_page);
+      operator_next_ = answer.operator_page.next;
+    } else {
+      ApplyOperatorSet(answer.operator_page);
+    }
   }
-  if (answer->operator_page.next >= *operator_next_) {
-    for (const auto& record : answer->operator_page.records) {
-      ApplyOperator(record);
+  if (request.targets_next == targets_next_) {
+    if (targets_next_) {
+      for (const auto& record : answer.targets_page.records) {
+        ApplyTarget(record);
+      }
+      relay_.targets_tail().Add(*targets_next_, answer.targets_page);
+      targets_next_ = answer.targets_page.next;
+    } else {
+      ApplyTargetSet(answer.targets_page);
     }
-    relay_.operator_tail().Add(request.operator_next, answer->operator_page);
-    operator_next_ = answer->operator_page.next;
   }
-  for (const auto& record : answer->targets_page.records) ApplyTarget(record);
-  relay_.targets_tail().Add(request.targets_next, answer->targets_page);
-  targets_next_ = answer->targets_page.next;
   if (request.quarantine_next == quarantine_next_) {
-    ApplyQuarantine(answer->quarantine_page);
+    if (quarantine_next_) {
+      ApplyQuarantine(answer.quarantine_page);
+    } else {
+      ApplyQuarantineSet(answer.quarantine_page);
+    }
   }
-  // The reader determined the age of its proof after the request was sent.
-  freshness_.OnReadResponse(sent - answer->proof_age, false, {});
-  relayed_at_ = RuntimeClock::now();
-  co_return true;
 }
 
 void StoreFollower::ApplyTarget(const platform::KeyedRecord& record) {
@@ -325,6 +383,20 @@
   fleet_.SetTarget(std::move(entry.value()));
 }
 
+void StoreFollower::ApplyOperatorSet(const platform::RecordPage& page) {
+  for (const auto& record : page.records) ApplyOperator(record);
+  operator_next_ = page.next;
+  relay_.SetEra(store_.era().number);
+  relay_.operator_tail().Reset(page);
+}
+
+void StoreFollower::ApplyQuarantineSet(const platform::RecordPage& page) {
+  quarantine_->OnRecordSet(page);
+  quarantine_next_ = page.next;
+  relay_.SetEra(store_.era().number);
+  relay_.quarantine_tail().Reset(page);
+}
+
 void StoreFollower::ApplyTargetSet(const platform::RecordPage& page) {
   std::set<std::string> listed;
   for (const auto& record : page.records) {
@@ -336,6 +408,10 @@
     if (!listed.contains(id)) missing.push_back(id);
   }
   for (const std::string& id : missing) RemoveTarget(id);
+  targets_next_ = page.next;
+  relay_.SetEra(store_.era().number);
+  relay_.targets_tail().Reset(page);
+  has_targets_ = true;
 }
 
 void StoreFollower::RemoveTarget(const std::string& id) {
--- a/src/fleet/store_follower.h
+++ b/src/fleet/store_follower.h
@@ -31,21 +31,17 @@
                 Fleet& fleet, std::function<void()> on_config,
                 std::function<void()> on_weights);
   /// Sets the source of the zone's reader; without one, the store is always
-  /// read directly. @pre called before `FollowOperator` and `FollowTargets`;
-  /// `peers` outlives the follower.
+  /// read directly. @pre called before `Run`; `peers` outlives the follower.
   void set_peers(Peers* peers) { peers_ = peers; }
 
-  /// Sets the receiver of the quarantine's records. @pre called before
-  /// `FollowQuarantine`; `quarantine` outlives the follower.
+  /// Sets the receiver of the quarantine's records. @pre called before `Run`;
+  /// `quarantine` outlives the follower.
   void set_quarantine(PartQuarantine* quarantine) { quarantine_ = quarantine; }
 
-  /// Follows the operator's topic until the loop stops. @pre called once.
-  net::asio::awaitable<void> FollowOperator();
-  /// Follows the targets' topic until the loop stops. @pre called once.
-  net::asio::awaitable<void> FollowTargets();
-  /// Follows the quarantine's topic until the loop stops. @pre called once;
-  /// a quarantine is set.
-  net::asio::awaitable<void> FollowQuarantine();
+  /// Reads the newest records, from another router of the zone if one has them,
+  /// and follows the topics until the loop stops. @pre called once; a
+  /// quarantine is set.
+  net::asio::awaitable<void> Run();
 
   /// Up to which time the operator's records are known to be complete. @pre
   /// none.
@@ -60,17 +56,34 @@
  private:
   // What was read stays in force; offsets and relayed records do not.
   void OnRestore();
+  // Reads the newest records from a router of the zone that has started before.
+  // Returns when that is done, there is none, or none has answered in time.
+  net::asio::awaitable<void> ReadFirst();
+  net::asio::awaitable<void> FollowOperator();
+  net::asio::awaitable<void> FollowTargets();
+  net::asio::awaitable<void> FollowQuarantine();
   net::asio::awaitable<bool> ReadOperator();
   net::asio::awaitable<bool> ReadTargets();
   net::asio::awaitable<bool> ReadQuarantine();
-  // Reads both topics from the zone's reader; false if there is none, it does
+  // Reads all topics from the zone's reader; false if there is none, it does
   // not answer or its records may be outdated.
   net::asio::awaitable<bool> ReadFromRelay();
+  enum class RelayOutcome { kRead, kNothingUseful, kNoAnswer };
+  // Reads all topics from a router of the zone.
+  net::asio::awaitable<RelayOutcome> ReadFrom(std::string relay);
+  void ApplyRelayed(const RelayRequest& request, const RelayAnswer& answer);
+  // Relay address of the zone's reader. Right after the start, when no other
+  // router has been heard of, it is the one that served the first records.
+  std::optional<std::string> Reader() const;
   bool IsRelayActive() const;
   void ApplyOperator(const platform::KeyedRecord& record);
   void ApplyTarget(const platform::KeyedRecord& record);
   void ApplyQuarantine(const platform::RecordPage& page);
+  // The newest records of a topic, of which nothing is known yet or only what
+  // is too old to go on from.
+  void ApplyOperatorSet(const platform::RecordPage& page);
   void ApplyTargetSet(const platform::RecordPage& page);
+  void ApplyQuarantineSet(const platform::RecordPage& page);
   void RemoveTarget(const std::string& id);
   void RemoveDueTargets();
   void SetStoreUp(bool is_up, const std::string& message);
@@ -85,6 +98,9 @@
   Freshness freshness_;
   RecordRelay relay_{freshness_};
   std::optional<RuntimeClock::time_point> relayed_at_;
+  // Router that served the first records, while it answers.
+  std::optional<std::string> first_source_;
+  RuntimeClock::time_point started_at_ = RuntimeClock::now();
   // Offset of the next read; none until the newest record of each key has been
   // read.
   std::optional<std::uint64_t> operator_next_;
--- a/tests/src/process-platform.cpp
+++ b/tests/src/process-platform.cpp
@@ -642,6 +642,20 @@
   EXPECT_TRUE(all_have(6));
 }
 
+TEST_F(PlatformRelay, ARouterThatStartsReadsItsFirstRecordsFromItsZone) {
+  PutKey(2, "relayed-key");
+  fleet_.router(follower_).Kill();
+  fleet_.StartRouter(follower_);
+  ASSERT_TRUE(fleet_.WaitReady(follower_));
+  EXPECT_EQ(
+      StatusOf(fleet_.Send(follower_, "/book/x", "r", {}, "", "relayed-key")),
+      200);
+  // One call registers the router and one finds the others.
+  EXPECT_EQ(StoreCalls(follower_), 2);
+  std::this_thread::sleep_for(milliseconds(3000));
+  EXPECT_EQ(StoreCalls(follower_), 2);
+}
+
 TEST_F(PlatformRelay, AFollowerReadsItselfWhenItsReaderIsGone) {
   fleet_.router(reader_).Signal(SIGSTOP);
   PutKey(2, "second-key");
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -680,6 +680,23 @@
   EXPECT_EQ(tail.ReadFrom(20)->next, 21U);
 }
 
+TEST(RecordRelayTail, GivesTheNewestOfEachKeyToAFollowerThatHasNothing) {
+  RecordTail tail;
+  EXPECT_FALSE(tail.Read(std::nullopt));
+  tail.Reset({{{"a", "1", 3}, {"b", "1", 5}}, 7});
+  tail.Add(7, {{{"a", "", 7}, {"c", "1", 8}, {"b", "2", 9}}, 10});
+  const auto newest = tail.Read(std::nullopt);
+  ASSERT_TRUE(newest);
+  EXPECT_EQ(newest->next, 10U);
+  ASSERT_EQ(newest->records.size(), 2U);
+  EXPECT_EQ(newest->records[0].value, "2");
+  EXPECT_EQ(newest->records[1].key, "c");
+  EXPECT_EQ(tail.Read(8)->records.size(), 2U);
+  // What a gap hides may have changed any key.
+  tail.Add(12, Page(12, 1));
+  EXPECT_FALSE(tail.Read(std::nullopt));
+}
+
 TEST(RecordRelayTail, IsBounded) {
   RecordTail tail;
   tail.Add(0, Page(0, 3000));
@@ -720,6 +737,22 @@
   EXPECT_EQ(relay.Serve(Encode(RelayRequest{0, 0, 0, 2})), "");
 }
 
+TEST(RecordRelayServing, AFollowerThatHasNothingGetsTheNewestRecords) {
+  Freshness freshness;
+  RecordRelay relay(freshness);
+  relay.SetEra(1);
+  const RelayRequest request{std::nullopt, std::nullopt, std::nullopt, 1};
+  relay.operator_tail().Reset({{{"config", "1", 4}}, 5});
+  relay.targets_tail().Reset({{{"t", "1", 2}}, 9});
+  EXPECT_EQ(relay.Serve(Encode(request)), "");
+  relay.quarantine_tail().Reset({{}, 0});
+  const auto answer = DecodeRelayAnswer(relay.Serve(Encode(request)));
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->operator_page.records.at(0).key, "config");
+  EXPECT_EQ(answer->targets_page.next, 9U);
+  EXPECT_TRUE(answer->quarantine_page.records.empty());
+}
+
 TEST(RecordRelayCodec, KeepsBytesAndRefusesOthers) {
   RelayAnswer answer;
   answer.proof_age = milliseconds(7);
