Let only the first routers ask for the lease after a start

Cause: a router takes its turn by its rank among the routers that it hears. Right after a start it hears nobody, so each had rank 0.

--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -157,6 +157,7 @@
   first_sources_.clear();
   for (auto& [offset, relay] : sources) first_sources_.push_back(relay);
   constexpr int kOffsetBits = 32;
+  registered_at_ = RuntimeClock::now();
   registration_rank_ = store_.era().number << kOffsetBits | own_offset;
   co_return true;
 }
@@ -232,10 +233,14 @@
 
 int Peers::Rank() const {
   const auto now = RuntimeClock::now();
-  return static_cast<int>(
-      std::count_if(routers_.begin(), routers_.end(), [&](const auto& router) {
-        return router.first < self_.host_id && router.second.IsAlive(now);
-      }));
+  const bool is_new = now - registered_at_ < kSenderTimeout;
+  const auto is_live = [&](const std::string& host) {
+    const auto heard = routers_.find(host);
+    return heard == routers_.end() ? is_new : heard->second.IsAlive(now);
+  };
+  // The set is ordered, so the routers before this one have smaller ids.
+  return static_cast<int>(std::count_if(
+      known_hosts_.begin(), known_hosts_.find(self_.host_id), is_live));
 }
 
 bool Peers::FollowsCacheOf(const Runner& runner) const {
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -181,6 +181,7 @@
   Identity self_;
   // Rank of this router's registration; none before it is registered.
   std::optional<std::uint64_t> registration_rank_;
+  RuntimeClock::time_point registered_at_;
   // Whether the store may have lost the registration.
   bool is_registration_lost_ = false;
   // Addresses to which connections were opened.
--- a/src/fleet/weights_rollout.cc
+++ b/src/fleet/weights_rollout.cc
@@ -134,6 +134,8 @@
 }
 
 awaitable<void> WeightsRollout::AcquireLease() {
+  // Without the other routers' ids each would take itself for the first.
+  if (!peers_.is_registered()) co_return;
   const auto now = RuntimeClock::now();
   const auto idle_since =
       std::max(work_since_, peers_.rollout_announced_at() + kHolderTimeout);
