Hand the reading of the store over where the store turns a reader away

A host whose own calls are refused was not ready once its proof had aged, though others of its zone had the records. Cause: a follower whose reader had nothing read the store itself at once, each 150 ms and for each of three topics. The router that came next had its first proof of freshness only after a long poll, so that its followers refused it, too, and read the store as well. A router that was first in its zone never asked another one. Evidence: PlatformReaders.FollowersOfAReaderThatTheStoreTurnsAwayDoNotAskTheStore, with the store's address of a reader changed to a closed port: all three routers of the zone called the store, and the reader answered 503 as not ready. Change: up to three routers of the zone are asked before the store is. One whose proof is a little too old is asked again while the last relayed answer counts. A router that cannot read the store asks the others. Without a recent proof the operator's records are read without a wait.

--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -214,7 +214,7 @@
   std::rotate(source, std::next(source), first_sources_.end());
 }
 
-std::optional<std::string> Peers::ZoneReader() const {
+std::optional<std::string> Peers::ZoneReader(bool can_read_store) const {
   const auto now = RuntimeClock::now();
   const Router* reader = nullptr;
   for (const auto& [host, router] : routers_) {
@@ -225,9 +225,10 @@
                                                      reader->registration_rank;
     if (is_usable && is_earlier) reader = &router;
   }
-  const bool is_self = reader == nullptr || !registration_rank_ ||
-                       *registration_rank_ < reader->registration_rank;
-  if (is_self) return std::nullopt;
+  if (reader == nullptr) return std::nullopt;
+  const bool is_first =
+      !registration_rank_ || *registration_rank_ < reader->registration_rank;
+  if (is_first && can_read_store) return std::nullopt;
   return reader->relay_address;
 }
 
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -38,9 +38,9 @@
 
   /// Relay address of the zone's reader, the router that reads the store for
   /// all routers of this availability zone; `nullopt` if it is this router.
-  /// The reader is the live router of the zone that registered first. @pre
-  /// none.
-  std::optional<std::string> ZoneReader() const;
+  /// The reader is the live router of the zone that registered first, without
+  /// this one if it cannot read the store. @pre none.
+  std::optional<std::string> ZoneReader(bool can_read_store) const;
   /// Whether this router has registered and knows the routers that registered
   /// before it. @pre none.
   bool is_registered() const { return registration_rank_.has_value(); }
--- a/src/fleet/store_follower.cc
+++ b/src/fleet/store_follower.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <random>
 #include <set>
 #include <utility>
 
@@ -28,7 +29,10 @@
 constexpr milliseconds kQuarantinePollTimeout{2500};
 // Interval of the calls to the zone's reader, which put no load on the store.
 constexpr milliseconds kRelayReadInterval{400};
-constexpr milliseconds kRetryBackoff{150};
+// Interval at which a condition is checked without a call.
+constexpr milliseconds kWaitInterval{150};
+// Routers of the zone that are asked, one after the other, before the store is.
+constexpr int kMaxReaders = 3;
 // The zone's reader answers from memory, over the zone's network.
 constexpr milliseconds kRelayTimeout{300};
 // If the zone's reader has not answered for this long, the store is read
@@ -45,6 +49,9 @@
 // A router of the zone that starts, too, has read the store within some of
 // these intervals.
 constexpr milliseconds kFirstReadInterval{50};
+// With an older proof the store is read without a wait. A proof that a long
+// poll has just given is younger.
+constexpr milliseconds kMaxAgeBeforePoll{300};
 // If the store fails for longer, entries of live targets may have expired.
 constexpr milliseconds kMinOutage{800};
 // Live targets are listed again within two seconds of the store's recovery.
@@ -60,7 +67,8 @@
       relay_client_(relay_client),
       fleet_(fleet),
       on_config_(std::move(on_config)),
-      on_weights_(std::move(on_weights)) {
+      on_weights_(std::move(on_weights)),
+      backoff_(std::random_device{}()) {
   store_.OnRestore([this] { OnRestore(); });
 }
 
@@ -103,12 +111,14 @@
 awaitable<void> StoreFollower::FollowOperator() {
   for (;;) {
     if (operator_next_ && IsRelayActive()) {
-      co_await net::Sleep(kRetryBackoff);
+      co_await net::Sleep(kWaitInterval);
       continue;
     }
-    const bool ok = co_await ReadOperator();
-    if (!ok) {
-      co_await net::Sleep(kRetryBackoff);
+    const auto sent = RuntimeClock::now();
+    if (co_await ReadOperator()) {
+      backoff_.OnSuccess();
+    } else {
+      co_await net::Sleep(backoff_.OnFailure(RuntimeClock::now() - sent));
     }
   }
 }
@@ -132,8 +142,12 @@
     }
     co_return true;
   }
+  // Routers that follow this one need a proof before a long poll ends.
+  const bool is_fresh =
+      freshness_.IsWithin(kMaxAgeBeforePoll, BootClock::now());
+  const milliseconds wait = is_fresh ? kOperatorPollTimeout : milliseconds(0);
   auto page = co_await store_.Read(std::string(platform::kOperatorTopic),
-                                   *operator_next_, kOperatorPollTimeout);
+                                   *operator_next_, wait);
   if (!page.ok()) {
     SetStoreUp(false, page.error().message);
     co_return false;
@@ -151,9 +165,8 @@
   operator_next_ = read.next;
   // An empty answer before the end of the poll does not prove that the store
   // waited.
-  const bool has_waited = BootClock::now() - sent >= kOperatorPollTimeout;
-  freshness_.OnReadResponse(sent, read.records.empty() && has_waited,
-                            kOperatorPollTimeout);
+  const bool has_waited = BootClock::now() - sent >= wait;
+  freshness_.OnReadResponse(sent, read.records.empty() && has_waited, wait);
   co_return true;
 }
 
@@ -194,7 +207,10 @@
 awaitable<void> StoreFollower::FollowTargets() {
   for (;;) {
     const bool is_relayed = co_await ReadFromRelay();
-    const bool ok = is_relayed || co_await ReadTargets();
+    // While the store is down, the calls for the operator's records show its
+    // return.
+    bool ok = is_relayed;
+    if (!is_relayed && !IsRelayActive() && is_up_) ok = co_await ReadTargets();
     const auto now = RuntimeClock::now();
     if (!ok && !targets_failing_since_) targets_failing_since_ = now;
     if (ok && targets_failing_since_) {
@@ -207,7 +223,7 @@
     if (ok) fleet_.OnListRead();
     const milliseconds interval =
         is_relayed ? kRelayReadInterval : kTargetReadInterval;
-    co_await net::Sleep(ok ? interval : kRetryBackoff);
+    co_await net::Sleep(ok ? interval : kWaitInterval);
   }
 }
 
@@ -238,14 +254,9 @@
 
 awaitable<void> StoreFollower::FollowQuarantine() {
   for (;;) {
-    if (quarantine_next_ && IsRelayActive()) {
-      co_await net::Sleep(kRetryBackoff);
-      continue;
-    }
-    const bool ok = co_await ReadQuarantine();
-    if (!ok) {
-      co_await net::Sleep(kRetryBackoff);
-    }
+    const bool is_followed = quarantine_next_ && IsRelayActive();
+    const bool has_read = !is_followed && is_up_ && co_await ReadQuarantine();
+    if (!has_read) co_await net::Sleep(kWaitInterval);
   }
 }
 
@@ -280,7 +291,7 @@
 }
 
 std::optional<std::string> StoreFollower::Reader() const {
-  auto reader = peers_->ZoneReader();
+  auto reader = peers_->ZoneReader(is_up_);
   const bool is_starting = RuntimeClock::now() - started_at_ < kStartTime;
   return reader || !is_starting ? reader : first_source_;
 }
@@ -288,11 +299,18 @@
 awaitable<bool> StoreFollower::ReadFromRelay() {
   const bool has_read_all = operator_next_ && targets_next_ && quarantine_next_;
   if (peers_ == nullptr || !has_read_all) co_return false;
-  const auto reader = Reader();
-  if (!reader) co_return false;
-  if (co_await ReadFrom(*reader) == RelayOutcome::kRead) co_return true;
-  peers_->ExcludeReader(*reader);
-  if (reader == first_source_) first_source_.reset();
+  // The router that follows a lost reader in the order becomes the reader, and
+  // has read what it relays until then.
+  for (int i = 0; i < kMaxReaders; ++i) {
+    const auto reader = Reader();
+    if (!reader) break;
+    const RelayOutcome outcome = co_await ReadFrom(*reader);
+    if (outcome == RelayOutcome::kRead) co_return true;
+    // A router that has just become the reader has its first proof soon.
+    if (outcome == RelayOutcome::kOutdated && IsRelayActive()) co_return false;
+    peers_->ExcludeReader(*reader);
+    if (reader == first_source_) first_source_.reset();
+  }
   relayed_at_.reset();
   co_return false;
 }
@@ -307,9 +325,9 @@
   if (!reply.ok()) co_return RelayOutcome::kNoAnswer;
   const auto answer = DecodeRelayAnswer(reply.value());
   const bool is_useful = answer && answer->proof_age >= milliseconds(0) &&
-                         answer->proof_age <= kMaxProofAge &&
                          answer->era == store_.era().number;
-  if (!is_useful) co_return RelayOutcome::kNothingUseful;
+  if (!is_useful) co_return RelayOutcome::kNothing;
+  if (answer->proof_age > kMaxProofAge) co_return RelayOutcome::kOutdated;
   ApplyRelayed(request, *answer);
   // The reader determined the age of its proof after the request was sent.
   freshness_.OnReadResponse(sent - answer->proof_age, false, {});
--- a/src/fleet/store_follower.h
+++ b/src/fleet/store_follower.h
@@ -13,6 +13,7 @@
 #include "platform/store_client.h"
 #include "src/fleet/fleet.h"
 #include "src/fleet/record_relay.h"
+#include "src/fleet/store_backoff.h"
 #include "src/wire/peer_link.h"
 
 namespace beryllane::fleet {
@@ -65,10 +66,10 @@
   net::asio::awaitable<bool> ReadOperator();
   net::asio::awaitable<bool> ReadTargets();
   net::asio::awaitable<bool> ReadQuarantine();
-  // Reads all topics from the zone's reader; false if there is none, it does
-  // not answer or its records may be outdated.
+  // Reads all topics from the zone's reader or, if it does not answer or its
+  // records may be outdated, from the next one; false if none has served them.
   net::asio::awaitable<bool> ReadFromRelay();
-  enum class RelayOutcome { kRead, kNothingUseful, kNoAnswer };
+  enum class RelayOutcome { kRead, kOutdated, kNothing, kNoAnswer };
   // Reads all topics from a router of the zone.
   net::asio::awaitable<RelayOutcome> ReadFrom(std::string relay);
   void ApplyRelayed(const RelayRequest& request, const RelayAnswer& answer);
@@ -106,6 +107,7 @@
   std::optional<std::uint64_t> operator_next_;
   std::optional<std::uint64_t> targets_next_;
   std::optional<std::uint64_t> quarantine_next_;
+  StoreBackoff backoff_;
   bool has_targets_ = false;
   bool is_up_ = true;
   std::optional<RuntimeClock::time_point> targets_failing_since_;
--- a/tests/src/process-platform.cpp
+++ b/tests/src/process-platform.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <signal.h>
 
+#include <array>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <future>
@@ -674,5 +675,42 @@
   EXPECT_EQ(fleet_.RunsOf("r2"), 0);
 }
 
+TEST(PlatformReaders, FollowersOfAReaderThatTheStoreTurnsAwayDoNotAskTheStore) {
+  PlatformFleet fleet(7);
+  // Routers of one zone.
+  constexpr std::array<int, 3> kZone{0, 3, 6};
+  const auto calls = [&] {
+    std::array<double, 3> calls{};
+    for (std::size_t i = 0; i < kZone.size(); ++i) {
+      calls[i] = fleet.Metric(kZone[i], "beryllane_store_calls_total");
+    }
+    return calls;
+  };
+  const auto calling_within = [&](milliseconds time) {
+    const auto before = calls();
+    std::this_thread::sleep_for(time);
+    const auto after = calls();
+    std::vector<int> routers;
+    for (std::size_t i = 0; i < kZone.size(); ++i) {
+      if (after[i] > before[i]) routers.push_back(kZone[i]);
+    }
+    return routers;
+  };
+  std::vector<int> readers;
+  ASSERT_TRUE(Eventually([&] {
+    readers = calling_within(milliseconds(1500));
+    return readers.size() == 1;
+  }));
+  const int reader = readers.front();
+  std::string settings = fleet.SettingsOf(reader);
+  settings.replace(settings.rfind("address = "), std::string::npos,
+                   "address = \"127.0.0.1:1\"\n");
+  fleet.WriteSettings(reader, settings);
+  fleet.router(reader).Signal(SIGHUP);
+  const std::vector<int> calling = calling_within(milliseconds(7000));
+  EXPECT_EQ(calling.size(), 2U);
+  for (const int router : kZone) EXPECT_EQ(fleet.ReadyStatus(router), 200);
+}
+
 }  // namespace
 }  // namespace beryllane::testing
