Let the first of the routers that all start again read the store

Cause: the change of the first records let each router wait for those that had registered earlier. Registrations outlive their routers: after a common restart all of a zone waited for each other until the time for that was over. Change: a router without records answers with the rank of its registration. One that registered later, or not yet, is not waited for, nor is one that refuses; two that do not answer within 150 ms end the wait. So the one that registered first in this life reads the store at once (FirstSources).

--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -154,8 +154,8 @@
     if (!is_new) sources.erase(std::exchange(known->second, record.offset));
     if (is_in_zone && relay.is_string()) sources[record.offset] = relay;
   }
-  first_sources_.clear();
-  for (auto& [offset, relay] : sources) first_sources_.push_back(relay);
+  earlier_in_zone_.clear();
+  for (auto& [offset, relay] : sources) earlier_in_zone_.push_back(relay);
   constexpr int kOffsetBits = 32;
   registered_at_ = RuntimeClock::now();
   registration_rank_ = store_.era().number << kOffsetBits | own_offset;
@@ -199,21 +199,6 @@
   }
 }
 
-std::optional<std::string> Peers::FirstSource(int attempt) const {
-  if (first_sources_.empty()) return std::nullopt;
-  if (attempt % 2 == 0) return first_sources_.front();
-  const std::uint64_t spread =
-      HashBytes(self_.host_id).low + static_cast<std::uint64_t>(attempt);
-  return first_sources_[spread % first_sources_.size()];
-}
-
-void Peers::PostponeSource(const std::string& relay_address) {
-  const auto source =
-      std::find(first_sources_.begin(), first_sources_.end(), relay_address);
-  if (source == first_sources_.end()) return;
-  std::rotate(source, std::next(source), first_sources_.end());
-}
-
 std::optional<std::string> Peers::ZoneReader(bool can_read_store) const {
   const auto now = RuntimeClock::now();
   const Router* reader = nullptr;
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -44,15 +44,13 @@
   /// Whether this router has registered and knows the routers that registered
   /// before it. @pre none.
   bool is_registered() const { return registration_rank_.has_value(); }
-  /// Relay address of a router of this zone from which to read the first
-  /// records after a start; `nullopt` if this router was the first of its zone
-  /// to register. Attempts alternate between the earliest, which is the reader
-  /// when all routers start at once, and another. @pre `is_registered()`;
-  /// `attempt` >= 0.
-  std::optional<std::string> FirstSource(int attempt) const;
-  /// Lets `FirstSource` prefer all others to a router that did not answer.
-  /// @pre none.
-  void PostponeSource(const std::string& relay_address);
+  /// Rank of this router's registration. @pre `is_registered()`.
+  std::uint64_t registration_rank() const { return *registration_rank_; }
+  /// Relay addresses of the routers of this zone that registered before this
+  /// one, the earliest first; some may have left. @pre `is_registered()`.
+  const std::vector<std::string>& earlier_in_zone() const {
+    return earlier_in_zone_;
+  }
   /// Number of routers ever seen, including this one. @pre none.
   std::size_t known_hosts() const { return known_hosts_.size(); }
   /// Rank of this router by host id among the live routers, from 0. Right after
@@ -187,9 +185,7 @@
   // Addresses to which connections were opened.
   std::set<std::string> dialed_;
   std::set<std::string> known_hosts_;
-  // Relay addresses of the routers of this zone that registered before this
-  // one, the earliest first, then those that did not answer.
-  std::vector<std::string> first_sources_;
+  std::vector<std::string> earlier_in_zone_;
   // Other routers from which a message was received, by host id.
   std::map<std::string, Router> routers_;
   RuntimeClock::time_point started_at_ = RuntimeClock::now();
--- a/src/fleet/record_relay.cc
+++ b/src/fleet/record_relay.cc
@@ -112,6 +112,20 @@
                answer.era});
 }
 
+std::string Encode(const NoRecords& answer) {
+  return Pack(json::array({OffsetToJson(answer.rank)}));
+}
+
+std::optional<NoRecords> DecodeNoRecords(const std::string& message) {
+  try {
+    const json body = json::from_msgpack(message);
+    if (!body.is_array() || body.size() != 1) return std::nullopt;
+    return NoRecords{ToOffset(body.at(0))};
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
 std::optional<RelayRequest> DecodeRelayRequest(const std::string& message) {
   try {
     const json body = json::from_msgpack(message);
@@ -148,11 +162,15 @@
 
 std::string RecordRelay::Serve(const std::string& message) const {
   const auto request = DecodeRelayRequest(message);
-  if (!request || !is_store_up_ || request->era != era_) return "";
+  if (!request || !is_store_up_) return "";
+  const bool needs_newest = !request->operator_next || !request->targets_next ||
+                            !request->quarantine_next;
+  const std::string no_records = needs_newest ? Encode(NoRecords{rank_}) : "";
+  if (request->era != era_) return no_records;
   auto operator_page = operator_tail_.Read(request->operator_next);
   auto targets_page = targets_tail_.Read(request->targets_next);
   auto quarantine_page = quarantine_tail_.Read(request->quarantine_next);
-  if (!operator_page || !targets_page || !quarantine_page) return "";
+  if (!operator_page || !targets_page || !quarantine_page) return no_records;
   RelayAnswer answer;
   answer.era = era_;
   const auto age = freshness_.Age(BootClock::now());
--- a/src/fleet/record_relay.h
+++ b/src/fleet/record_relay.h
@@ -87,12 +87,20 @@
   std::uint64_t era = 0;
 };
 
+/// Answer to a request for the newest records by a router that has none itself.
+struct NoRecords {
+  /// Rank of the router's registration; none before it has registered.
+  std::optional<std::uint64_t> rank;
+};
+
 /// Encodes a request or an answer. @pre none. Thread-safe.
 std::string Encode(const RelayRequest& request);
 std::string Encode(const RelayAnswer& answer);
+std::string Encode(const NoRecords& answer);
 /// Decodes a message; `nullopt` if it is malformed. @pre none. Thread-safe.
 std::optional<RelayRequest> DecodeRelayRequest(const std::string& message);
 std::optional<RelayAnswer> DecodeRelayAnswer(const std::string& message);
+std::optional<NoRecords> DecodeNoRecords(const std::string& message);
 
 /// Serves the records that this router read to followers. Used on one loop.
 class RecordRelay {
@@ -106,11 +114,14 @@
   /// Sets whether this router can read the store; if not, followers get an
   /// empty answer and read elsewhere. @pre none.
   void set_is_store_up(bool is_store_up) { is_store_up_ = is_store_up; }
+  /// Sets the rank of this router's registration. @pre none.
+  void set_rank(std::uint64_t rank) { rank_ = rank; }
   /// Forgets all records, because the store is in another era. @pre none.
   void SetEra(std::uint64_t era);
   /// Answers a follower's request. The answer is empty if the message is
   /// malformed or of another era, the records are not kept or the store cannot
-  /// be read. @pre none.
+  /// be read. To a follower that has nothing, a router that has nothing either
+  /// answers `NoRecords`. @pre none.
   std::string Serve(const std::string& message) const;
 
  private:
@@ -120,6 +131,7 @@
   RecordTail quarantine_tail_;
   bool is_store_up_ = true;
   std::uint64_t era_ = 0;
+  std::optional<std::uint64_t> rank_;
 };
 
 }  // namespace beryllane::fleet
--- a/src/fleet/store_follower.cc
+++ b/src/fleet/store_follower.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "platform/config_codec.h"
+#include "src/fleet/first_sources.h"
 #include "src/fleet/part_quarantine.h"
 #include "src/fleet/peers.h"
 #include "src/telemetry/log.h"
@@ -49,6 +50,9 @@
 // A router of the zone that starts, too, has read the store within some of
 // these intervals.
 constexpr milliseconds kFirstReadInterval{50};
+// A router of the zone that has started answers from memory. Others may be
+// starting at the same time, so waiting longer would delay all of them.
+constexpr milliseconds kFirstReadTimeout{150};
 // With an older proof the store is read without a wait. A proof that a long
 // poll has just given is younger.
 constexpr milliseconds kMaxAgeBeforePoll{300};
@@ -93,16 +97,35 @@
 
 awaitable<void> StoreFollower::ReadFirst() {
   if (peers_ == nullptr) co_return;
-  for (int attempt = 0; RuntimeClock::now() - started_at_ < kStartTime;) {
-    if (peers_->is_registered()) {
-      const auto source = peers_->FirstSource(attempt++);
-      if (!source) co_return;
-      const RelayOutcome outcome = co_await ReadFrom(*source);
-      if (outcome == RelayOutcome::kRead) {
+  const auto is_in_time = [this] {
+    return RuntimeClock::now() - started_at_ < kStartTime;
+  };
+  while (!peers_->is_registered()) {
+    if (!is_in_time()) co_return;
+    co_await net::Sleep(kFirstReadInterval);
+  }
+  const std::uint64_t rank = peers_->registration_rank();
+  relay_.set_rank(rank);
+  FirstSources sources(peers_->earlier_in_zone(), rank);
+  while (is_in_time()) {
+    const auto source = sources.Next();
+    if (!source) co_return;
+    const RelayReply reply = co_await ReadFrom(*source, kFirstReadTimeout);
+    switch (reply.outcome) {
+      case RelayOutcome::kRead:
         first_source_ = source;
         co_return;
-      }
-      if (outcome == RelayOutcome::kNoAnswer) peers_->PostponeSource(*source);
+      case RelayOutcome::kOutdated:
+        break;
+      case RelayOutcome::kNoRecords:
+        sources.OnNoRecords(*source, reply.rank);
+        break;
+      case RelayOutcome::kRefused:
+        sources.OnRefusal(*source);
+        break;
+      case RelayOutcome::kNoAnswer:
+        sources.OnSilence(*source);
+        break;
     }
     co_await net::Sleep(kFirstReadInterval);
   }
@@ -304,10 +327,11 @@
   for (int i = 0; i < kMaxReaders; ++i) {
     const auto reader = Reader();
     if (!reader) break;
-    const RelayOutcome outcome = co_await ReadFrom(*reader);
-    if (outcome == RelayOutcome::kRead) co_return true;
+    const RelayReply reply = co_await ReadFrom(*reader, kRelayTimeout);
+    if (reply.outcome == RelayOutcome::kRead) co_return true;
     // A router that has just become the reader has its first proof soon.
-    if (outcome == RelayOutcome::kOutdated && IsRelayActive()) co_return false;
+    const bool is_outdated = reply.outcome == RelayOutcome::kOutdated;
+    if (is_outdated && IsRelayActive()) co_return false;
     peers_->ExcludeReader(*reader);
     if (reader == first_source_) first_source_.reset();
   }
@@ -315,24 +339,30 @@
   co_return false;
 }
 
-awaitable<StoreFollower::RelayOutcome> StoreFollower::ReadFrom(
-    std::string relay) {
+awaitable<StoreFollower::RelayReply> StoreFollower::ReadFrom(
+    std::string relay, milliseconds timeout) {
   const auto sent = BootClock::now();
   const RelayRequest request{operator_next_, targets_next_, quarantine_next_,
                              store_.era().number};
-  auto reply =
-      co_await relay_client_.Call(relay, Encode(request), kRelayTimeout);
-  if (!reply.ok()) co_return RelayOutcome::kNoAnswer;
+  auto reply = co_await relay_client_.Call(relay, Encode(request), timeout);
+  if (!reply.ok()) co_return RelayReply{RelayOutcome::kNoAnswer, std::nullopt};
+  if (const auto none = DecodeNoRecords(reply.value())) {
+    co_return RelayReply{RelayOutcome::kNoRecords, none->rank};
+  }
   const auto answer = DecodeRelayAnswer(reply.value());
   const bool is_useful = answer && answer->proof_age >= milliseconds(0) &&
                          answer->era == store_.era().number;
-  if (!is_useful) co_return RelayOutcome::kNothing;
-  if (answer->proof_age > kMaxProofAge) co_return RelayOutcome::kOutdated;
-  ApplyRelayed(request, *answer);
-  // The reader determined the age of its proof after the request was sent.
-  freshness_.OnReadResponse(sent - answer->proof_age, false, {});
-  relayed_at_ = RuntimeClock::now();
-  co_return RelayOutcome::kRead;
+  RelayReply outcome{RelayOutcome::kRefused, std::nullopt};
+  if (is_useful && answer->proof_age > kMaxProofAge) {
+    outcome.outcome = RelayOutcome::kOutdated;
+  } else if (is_useful) {
+    ApplyRelayed(request, *answer);
+    // The reader determined the age of its proof after the request was sent.
+    freshness_.OnReadResponse(sent - answer->proof_age, false, {});
+    relayed_at_ = RuntimeClock::now();
+    outcome.outcome = RelayOutcome::kRead;
+  }
+  co_return outcome;
 }
 
 // An offset that has changed since the request was sent belongs to newer
--- a/src/fleet/store_follower.h
+++ b/src/fleet/store_follower.h
@@ -69,9 +69,23 @@
   // Reads all topics from the zone's reader or, if it does not answer or its
   // records may be outdated, from the next one; false if none has served them.
   net::asio::awaitable<bool> ReadFromRelay();
-  enum class RelayOutcome { kRead, kOutdated, kNothing, kNoAnswer };
+  enum class RelayOutcome {
+    kRead,
+    // The proof that the records are the newest is too old.
+    kOutdated,
+    // The router has no records yet.
+    kNoRecords,
+    kRefused,
+    kNoAnswer,
+  };
+  struct RelayReply {
+    RelayOutcome outcome = RelayOutcome::kNoAnswer;
+    // Rank of the router's registration, with `kNoRecords`.
+    std::optional<std::uint64_t> rank;
+  };
   // Reads all topics from a router of the zone.
-  net::asio::awaitable<RelayOutcome> ReadFrom(std::string relay);
+  net::asio::awaitable<RelayReply> ReadFrom(std::string relay,
+                                            std::chrono::milliseconds timeout);
   void ApplyRelayed(const RelayRequest& request, const RelayAnswer& answer);
   // Relay address of the zone's reader. Right after the start, when no other
   // router has been heard of, it is the one that served the first records.
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -744,10 +744,14 @@
   const RelayRequest request{std::nullopt, std::nullopt, std::nullopt, 1};
   relay.operator_tail().Reset({{{"config", "1", 4}}, 5});
   relay.targets_tail().Reset({{{"t", "1", 2}}, 9});
-  EXPECT_EQ(relay.Serve(Encode(request)), "");
+  EXPECT_FALSE(DecodeRelayAnswer(relay.Serve(Encode(request))));
+  EXPECT_FALSE(DecodeNoRecords(relay.Serve(Encode(request)))->rank);
+  relay.set_rank(7);
+  EXPECT_EQ(DecodeNoRecords(relay.Serve(Encode(request)))->rank, 7U);
   relay.quarantine_tail().Reset({{}, 0});
   const auto answer = DecodeRelayAnswer(relay.Serve(Encode(request)));
   ASSERT_TRUE(answer);
+  EXPECT_FALSE(DecodeNoRecords(Encode(*answer)));
   EXPECT_EQ(answer->operator_page.records.at(0).key, "config");
   EXPECT_EQ(answer->targets_page.next, 9U);
   EXPECT_TRUE(answer->quarantine_page.records.empty());
