Count no relayed records as proof that were not applied

A router could have held an older configuration for fresh. Cause: a relayed page is not applied where the offset moved while it was on its way, but the proof of freshness that came with it counted. Beside it, a router that the store had turned away and that read through others never asked the store again, and so never read for others again.

--- a/src/fleet/store_follower.cc
+++ b/src/fleet/store_follower.cc
@@ -133,7 +133,9 @@
 
 awaitable<void> StoreFollower::FollowOperator() {
   for (;;) {
-    if (operator_next_ && IsRelayActive()) {
+    // A router that the store has turned away finds out when it is served
+    // again, so that it can read for others.
+    if (operator_next_ && IsRelayActive() && is_up_) {
       co_await net::Sleep(kWaitInterval);
       continue;
     }
@@ -356,9 +358,13 @@
   if (is_useful && answer->proof_age > kMaxProofAge) {
     outcome.outcome = RelayOutcome::kOutdated;
   } else if (is_useful) {
+    // Records that are not applied prove nothing.
+    const bool is_applied = request.operator_next == operator_next_;
     ApplyRelayed(request, *answer);
     // The reader determined the age of its proof after the request was sent.
-    freshness_.OnReadResponse(sent - answer->proof_age, false, {});
+    if (is_applied) {
+      freshness_.OnReadResponse(sent - answer->proof_age, false, {});
+    }
     relayed_at_ = RuntimeClock::now();
     outcome.outcome = RelayOutcome::kRead;
   }
--- a/tests/src/process-platform.cpp
+++ b/tests/src/process-platform.cpp
@@ -710,6 +710,11 @@
   const std::vector<int> calling = calling_within(milliseconds(7000));
   EXPECT_EQ(calling.size(), 2U);
   for (const int router : kZone) EXPECT_EQ(fleet.ReadyStatus(router), 200);
+  fleet.WriteSettings(reader, fleet.SettingsOf(reader));
+  fleet.router(reader).Signal(SIGHUP);
+  EXPECT_TRUE(Eventually([&] {
+    return calling_within(milliseconds(1500)) == std::vector<int>{reader};
+  }));
 }
 
 }  // namespace
