Let the write of a request own its connection

Cause: what the socket does not take at once is sent in several steps by an operation that only referred to the socket. An early answer destroyed the connection while a completed step was queued; the next step used the freed socket, often the one of the retry. Change: the operation owns the connection, and the answer closes the socket when it is destroyed. The next step then fails.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -47,7 +47,7 @@
   RuntimeClock::time_point idle_until;
   bool is_new = true;
   // False while part of a request is still to be sent.
-  std::shared_ptr<bool> is_written = std::make_shared<bool>(true);
+  bool is_written = true;
 
   Connection(Address at, tcp::socket open)
       : address(std::move(at)), socket(std::move(open)) {}
@@ -62,7 +62,7 @@
   }
 };
 
-AnswerStream::AnswerStream(std::unique_ptr<Connection> connection,
+AnswerStream::AnswerStream(std::shared_ptr<Connection> connection,
                            HttpClient& client, CallOptions options)
     : connection_(std::move(connection)),
       client_(client),
@@ -143,7 +143,13 @@
   co_return co_await ReadHead();
 }
 
-AnswerStream::~AnswerStream() = default;
+AnswerStream::~AnswerStream() {
+  if (!connection_) return;
+  // Ends the operation that sends the rest of the request, which owns the
+  // connection, too.
+  error_code ignored;
+  connection_->socket.close(ignored);
+}
 
 error_code AnswerStream::ParseBuffered() {
   beast::flat_buffer& buffer = connection_->buffer;
@@ -208,7 +214,7 @@
   std::string part = std::exchange(body, std::string());
   const bool is_reusable = part.empty() && connection_ && is_reusable_ &&
                            parser_->keep_alive() && !parser_->need_eof() &&
-                           *connection_->is_written &&
+                           connection_->is_written &&
                            connection_->buffer.size() == 0 &&
                            (!options_.may_reuse || options_.may_reuse());
   if (is_reusable) {
@@ -222,13 +228,13 @@
 HttpClient::HttpClient(asio::io_context& context) : context_(context) {}
 HttpClient::~HttpClient() = default;
 
-asio::awaitable<Result<std::unique_ptr<HttpClient::Connection>>>
+asio::awaitable<Result<std::shared_ptr<HttpClient::Connection>>>
 HttpClient::Connect(const Address& address, nanoseconds timeout) {
   error_code code;
   const tcp::endpoint endpoint(asio::ip::make_address(address.ip, code),
                                address.port);
   auto connection =
-      std::make_unique<Connection>(address, tcp::socket(context_));
+      std::make_shared<Connection>(address, tcp::socket(context_));
   connection->watchdog.Arm(timeout);
   const auto [connect_code] =
       co_await connection->socket.async_connect(endpoint, kAsTuple);
@@ -245,12 +251,12 @@
   co_return connection;
 }
 
-std::unique_ptr<HttpClient::Connection> HttpClient::TakeIdle(
+std::shared_ptr<HttpClient::Connection> HttpClient::TakeIdle(
     const Address& address) {
   const auto it = idle_.find(address);
   if (it == idle_.end()) return nullptr;
   while (!it->second.empty()) {
-    std::unique_ptr<Connection> connection = std::move(it->second.back());
+    std::shared_ptr<Connection> connection = std::move(it->second.back());
     it->second.pop_back();
     if (connection->IsUsable()) return connection;
   }
@@ -259,16 +265,16 @@
 
 void HttpClient::CloseIdle(const Address& address) { idle_.erase(address); }
 
-void HttpClient::PutIdle(std::unique_ptr<Connection> connection) {
+void HttpClient::PutIdle(std::shared_ptr<Connection> connection) {
   auto& idle = idle_[connection->address];
   idle.push_back(std::move(connection));
   if (idle.size() > kMaxIdle) idle.pop_front();
 }
 
-asio::awaitable<Result<std::unique_ptr<HttpClient::Connection>>>
+asio::awaitable<Result<std::shared_ptr<HttpClient::Connection>>>
 HttpClient::Acquire(const Address& address, const CallOptions& options) {
   if (!options.needs_new_connection) {
-    std::unique_ptr<Connection> idle = TakeIdle(address);
+    std::shared_ptr<Connection> idle = TakeIdle(address);
     if (idle) co_return idle;
   }
   co_return co_await Connect(address, options.connect_timeout);
@@ -290,12 +296,14 @@
   }
   if (sent == wire.size()) return Done{};
   // A failure shows when the answer is read.
+  // The operation has several steps and may outlive the answer: a step that
+  // has completed goes on with the next one after the socket was closed.
   auto rest = std::make_shared<std::string>(wire.substr(sent));
-  std::shared_ptr<bool> is_written = answer.connection_->is_written;
-  *is_written = false;
+  answer.connection_->is_written = false;
   asio::async_write(socket, asio::buffer(*rest),
-                    [rest, is_written](const error_code& failure, std::size_t) {
-                      *is_written = !failure;
+                    [rest, connection = answer.connection_](
+                        const error_code& failure, std::size_t) {
+                      connection->is_written = !failure;
                     });
   return Done{};
 }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -83,7 +83,7 @@
   friend class HttpClient;
   struct Connection;
 
-  AnswerStream(std::unique_ptr<Connection> connection, HttpClient& client,
+  AnswerStream(std::shared_ptr<Connection> connection, HttpClient& client,
                CallOptions options);
 
   // Reads heads until one is final.
@@ -97,7 +97,8 @@
   // How long the connection may wait for its next request.
   std::chrono::nanoseconds IdleLimit() const;
 
-  std::unique_ptr<Connection> connection_;
+  // Shared with the operation that sends the rest of the request.
+  std::shared_ptr<Connection> connection_;
   HttpClient& client_;
   CallOptions options_;
   std::unique_ptr<http::response_parser<http::string_body>> parser_;
@@ -134,19 +135,19 @@
   friend class AnswerStream;
   using Connection = AnswerStream::Connection;
 
-  asio::awaitable<Result<std::unique_ptr<Connection>>> Connect(
+  asio::awaitable<Result<std::shared_ptr<Connection>>> Connect(
       const Address& address, std::chrono::nanoseconds timeout);
   // An idle connection or a new one.
-  asio::awaitable<Result<std::unique_ptr<Connection>>> Acquire(
+  asio::awaitable<Result<std::shared_ptr<Connection>>> Acquire(
       const Address& address, const CallOptions& options);
   // Starts to send; what the socket does not take at once goes on in the
   // background, so that an early answer is seen.
   Result<Done> StartWrite(AnswerStream& answer, const std::string& wire);
-  std::unique_ptr<Connection> TakeIdle(const Address& address);
-  void PutIdle(std::unique_ptr<Connection> connection);
+  std::shared_ptr<Connection> TakeIdle(const Address& address);
+  void PutIdle(std::shared_ptr<Connection> connection);
 
   asio::io_context& context_;
-  std::map<Address, std::deque<std::unique_ptr<Connection>>> idle_;
+  std::map<Address, std::deque<std::shared_ptr<Connection>>> idle_;
 };
 
 }  // namespace beryllane::net
