Separate what an account cached before it was isolated

Cause: one salt for all accounts that are not isolated, which no change of the configuration replaced; and each attempt of a request used the account as it was at its admission. Change: the salt of the accounts that share has a hash of the set of isolated accounts. It follows from the configuration alone, so that routers agree on it after a restart. Each attempt asks the configuration in force. FleetPlacement.SaltsSeparateVersionsAndIsolated- Accounts moves to CacheScope.SaltsSeparateVersionsAndIsolatedAccounts, with one check more, as the salt is made from a scope now. Each change of the set makes the accounts that share read their parts again; this cost was not measured.

--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "beryllane/hash/hash.h"
+#include "src/fleet/cache_scope.h"
 
 namespace beryllane::fleet {
 namespace {
@@ -90,6 +91,7 @@
 
 bool Fleet::SetConfig(FleetConfig config) {
   if (config_ && config.version <= config_->version) return false;
+  config.shared_cache_scope = SharedCacheScope(config);
   config_ = std::make_shared<const FleetConfig>(std::move(config));
   return true;
 }
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -99,6 +99,8 @@
   /// Whether routes that are not public require a credential.
   bool needs_credentials = false;
   CallerLimits limits;
+  /// See `SharedCacheScope`; set when the configuration comes into force.
+  std::string shared_cache_scope;
 };
 
 /// A target's own entry in the platform's list of targets.
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -6,6 +6,7 @@
 
 #include "beryllane/placement/prefix_policy.h"
 #include "fmt/format.h"
+#include "src/fleet/cache_scope.h"
 
 namespace beryllane::fleet {
 namespace {
@@ -191,9 +192,13 @@
   Hash128 preferred_key;
 };
 
-PromptKeys KeysOf(const PlacementInput& input, std::uint64_t version) {
+PromptKeys KeysOf(const Fleet& fleet, const PlacementInput& input,
+                  std::uint64_t version) {
   PromptKeys prompt_keys;
-  prompt_keys.salt = CacheSalt(version, input.account);
+  // A request that was admitted by an earlier configuration must not reach
+  // parts from which a newer one separates its account.
+  prompt_keys.salt =
+      CacheSalt(version, CacheScopeOf(fleet.config().get(), input.account));
   prompt_keys.keys = PartKeys(input.request, prompt_keys.salt);
   // The preferred target of a part does not depend on the weights version.
   // After a switch the part is cached again at the runner that already serves
@@ -224,7 +229,7 @@
   for (auto& source : TriedSources(fleet, input, version, now)) {
     runners.push_back(std::move(source));
   }
-  const PromptKeys prompt_keys = KeysOf(input, version);
+  const PromptKeys prompt_keys = KeysOf(fleet, input, version);
   const auto& parts = input.request.parts;
   const DesiredWeightsState desired =
       fleet.DesiredWeightsOf(input.request.model);
@@ -431,10 +436,8 @@
 
 }  // namespace
 
-std::string CacheSalt(std::uint64_t version, const Account* account) {
-  const bool is_isolated = account != nullptr && account->is_isolated;
-  return is_isolated ? fmt::format("v{}.{}", version, account->name)
-                     : fmt::format("v{}", version);
+std::string CacheSalt(std::uint64_t version, const std::string& scope) {
+  return fmt::format("v{}{}", version, scope);
 }
 
 std::vector<std::uint64_t> PartKeys(const platform::CallerRequest& request,
--- a/src/fleet/placement.h
+++ b/src/fleet/placement.h
@@ -93,9 +93,9 @@
 std::uint64_t PartKey(const std::string& salt, const std::string& part_id);
 
 /// Salt that scopes a runner's cache entries, so that parts are shared neither
-/// across weights versions nor with an isolated account. @pre none.
-/// Thread-safe.
-std::string CacheSalt(std::uint64_t version, const Account* account);
+/// across weights versions nor between scopes of accounts (`CacheScopeOf`).
+/// @pre none. Thread-safe.
+std::string CacheSalt(std::uint64_t version, const std::string& scope);
 
 }  // namespace beryllane::fleet
 
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -338,7 +338,7 @@
   fleet_.SetTarget(Entry("a", "s", 7));
   const auto choice = Choose();
   EXPECT_EQ(choice.value().weights_version, 7U);
-  EXPECT_EQ(choice.value().cache_salt, CacheSalt(7, nullptr));
+  EXPECT_EQ(choice.value().cache_salt, CacheSalt(7, ""));
 }
 
 // Several requests arrive for a prompt that no runner has cached yet.
@@ -346,7 +346,7 @@
   fleet_.SetTarget(Entry("a", "s", 7));
   const auto now = RuntimeClock::now();
   EXPECT_LE(Choose().value().not_before, now);
-  const auto keys = PartKeys(request_, CacheSalt(7, nullptr));
+  const auto keys = PartKeys(request_, CacheSalt(7, ""));
   PartCache& cache = fleet_.AvailableTargets("s")[0]->cache;
   for (const std::uint64_t key : keys) {
     cache.Touch(key, 400, now + milliseconds(90));
@@ -365,7 +365,7 @@
 TEST_F(FleetPlacement, PartsAreCopiedFromARunnerThatRefused) {
   fleet_.SetTarget(Entry("a", "s", 7));
   fleet_.SetTarget(Entry("b", "s", 7));
-  const auto keys = PartKeys(request_, CacheSalt(7, nullptr));
+  const auto keys = PartKeys(request_, CacheSalt(7, ""));
   const auto a = fleet_.targets().at("a");
   for (const std::uint64_t key : keys) a->cache.Touch(key, 400);
   tried_.emplace_back("a");
@@ -415,7 +415,7 @@
 }
 
 TEST_F(PausedTargets, PartsAreNotCopiedFromOne) {
-  for (const auto key : PartKeys(request_, CacheSalt(7, nullptr))) {
+  for (const auto key : PartKeys(request_, CacheSalt(7, ""))) {
     fleet_.targets().at("a")->cache.Touch(key, 400);
   }
   tried_.emplace_back("a");
@@ -557,14 +557,6 @@
   EXPECT_EQ(targets[1]->limit.Demand(now), 0);
 }
 
-TEST_F(FleetPlacement, SaltsSeparateVersionsAndIsolatedAccounts) {
-  Account open{"t1", {}, {}, false};
-  Account isolated{"t2", {}, {}, true};
-  EXPECT_EQ(CacheSalt(3, &open), CacheSalt(3, nullptr));
-  EXPECT_NE(CacheSalt(3, &open), CacheSalt(4, &open));
-  EXPECT_NE(CacheSalt(3, &isolated), CacheSalt(3, &open));
-}
-
 TEST(FleetEvents, WholeEventsOnceAndInOrder) {
   EventRelay relay(std::nullopt);
   EXPECT_EQ(relay.Feed("id: 1\ndata: a\n\nid: 2\nda").value(),
