Take no part of the log for a proof of the newest configuration

Cause: each answer with records counted as a proof up to the time of its call. The end of the topic, with which an answer begins, was not read. Change: an answer that stops before the end proves nothing, and the next is read at once; the same for the list of targets. A list of newest records that says that more follow and has no items is an error. The stand-in of the store bounds its answers as the store does.

--- a/src/fleet/store_follower.cc
+++ b/src/fleet/store_follower.cc
@@ -188,6 +188,7 @@
   for (const auto& record : read.records) ApplyOperator(record);
   relay_.operator_tail().Add(*operator_next_, read);
   operator_next_ = read.next;
+  if (!read.reaches_end()) co_return !read.records.empty();
   // An empty answer before the end of the poll does not prove that the store
   // waited.
   const bool has_waited = BootClock::now() - sent >= wait;
@@ -276,7 +277,9 @@
   for (const auto& record : page.value()->records) ApplyTarget(record);
   relay_.targets_tail().Add(*targets_next_, *page.value());
   targets_next_ = page.value()->next;
-  co_return true;
+  if (page.value()->reaches_end()) co_return true;
+  // Until the rest is read, the list may lack targets and show some that left.
+  co_return !page.value()->records.empty() && co_await ReadTargets();
 }
 
 awaitable<void> StoreFollower::FollowQuarantine() {
--- a/standins/metadata_store.cc
+++ b/standins/metadata_store.cc
@@ -85,7 +85,15 @@
   std::string body;
   AppendBigEndian(body, topic.end(), kOffsetBytes);
   AppendBigEndian(body, topic.first, kOffsetBytes);
-  for (std::uint64_t offset = from; offset < topic.end(); ++offset) {
+  constexpr std::int64_t kDefaultKb = 1024;
+  constexpr std::size_t kBytesPerKb = 1024;
+  const auto most =
+      std::min(faults_.answer_bytes,
+               static_cast<std::size_t>(target.Number("maxKb", kDefaultKb)) *
+                   kBytesPerKb);
+  for (std::uint64_t offset = from;
+       offset < topic.end() && (offset == from || body.size() < most);
+       ++offset) {
     const Record& record = topic.records[offset - topic.first];
     AppendBigEndian(body, 1 + record.key.size() + record.value.size(),
                     kLengthBytes);
@@ -156,6 +164,7 @@
 void MetadataStore::ApplyChange(const json& change) {
   faults_.down = change.value("down", faults_.down);
   faults_.silent = change.value("silent", faults_.silent);
+  faults_.answer_bytes = change.value("answer_bytes", faults_.answer_bytes);
   faults_.lose_answers = change.value("lose_answers", faults_.lose_answers);
   faults_.answer_time = std::chrono::milliseconds(
       change.value("answer_ms", std::int64_t{faults_.answer_time.count()}));
--- a/standins/metadata_store.h
+++ b/standins/metadata_store.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -25,6 +26,9 @@
   /// Probability that an append takes place and its answer is lost.
   double lose_answers = 0;
   std::chrono::milliseconds answer_time{4};
+  /// An answer to a read ends with the record that reaches this size, if the
+  /// call asks for more.
+  std::size_t answer_bytes = std::numeric_limits<std::size_t>::max();
 };
 
 /// Serves the calls of the log interface that the router uses. One loop.
