Bound the whole of an answer, in bytes and in time

Cause: the line before a chunk and the trailer had no bound; the wait for an answer began anew with each byte; a timer cannot end a sequence of reads that never wait. Change: total_timeout of a call, checked before each read; 64 KB for what cannot be parsed yet; 8 MB for an answer that is skipped, 256 KB for one to an order or a report. Each caller states its time: requests what their route leaves, orders and reports two round trips, the store what its longest answer takes on the slowest link. The scripted target of the tests answers each connection on a thread of its own, as the router also polls it.

--- a/src/caller/completion_protocol.cc
+++ b/src/caller/completion_protocol.cc
@@ -122,6 +122,7 @@
   net::CallOptions options;
   options.connect_timeout = defaults().connect_timeout;
   options.answer_timeout = std::min(context_.TimeLeft(), HeadTimeout());
+  options.total_timeout = context_.TimeLeft();
   return options;
 }
 
--- a/src/caller/service_protocol.cc
+++ b/src/caller/service_protocol.cc
@@ -67,6 +67,7 @@
   net::CallOptions options;
   options.connect_timeout = context_.state->config->defaults.connect_timeout;
   options.answer_timeout = context_.TimeLeft();
+  options.total_timeout = context_.TimeLeft();
   // A call with a claimed key may run at most once. After a failed write to a
   // reused connection it would be unknown whether the target received it.
   options.needs_new_connection = call_.needs_claim();
--- a/src/fleet/cache_follower.cc
+++ b/src/fleet/cache_follower.cc
@@ -23,6 +23,9 @@
 constexpr milliseconds kPollTimeout{900};
 // Time in addition to the poll in which an answer arrives from another region.
 constexpr milliseconds kAnswerMargin{600};
+// Further time for the connection and for a long list of changes.
+constexpr milliseconds kTransferTime{2000};
+constexpr std::size_t kMaxAnswerBytes = 4 * 1024 * 1024;
 // Pause between calls, so that one answer covers several changes.
 constexpr milliseconds kCallInterval{250};
 constexpr milliseconds kFailureBackoff{1000};
@@ -75,6 +78,8 @@
     net::CallOptions options;
     options.may_send = [runner] { return MayPoll(*runner); };
     options.answer_timeout = kPollTimeout + kAnswerMargin;
+    options.total_timeout = options.answer_timeout + kTransferTime;
+    options.body_limit = kMaxAnswerBytes;
     options.unstated_idle_limit = std::chrono::nanoseconds(0);
     fleet_.WatchAnswers(*runner, options);
     auto answer = co_await client_.Call(
--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -238,6 +238,7 @@
   options.connect_timeout =
       std::min<std::chrono::nanoseconds>(kConnectTimeout, routed_.TimeLeft());
   options.answer_timeout = ProgressTimeout();
+  options.total_timeout = routed_.TimeLeft();
   options.may_send = [this] { return MaySend(); };
   options.more_time = [this] { return ExtendWait(); };
   fleet_.WatchAnswers(*choice_.runner, options);
--- a/src/fleet/weights_rollout.cc
+++ b/src/fleet/weights_rollout.cc
@@ -39,6 +39,8 @@
 // An order that is not lost is answered within a few round trips between
 // regions.
 constexpr milliseconds kOrderTimeout{250};
+// A report lists the runs of one target.
+constexpr std::size_t kMaxReportBytes = 256 * 1024;
 // A load takes at least about this long; no report is read before.
 constexpr milliseconds kFirstReportDelay{300};
 constexpr milliseconds kReportInterval{120};
@@ -295,6 +297,8 @@
   net::CallOptions options;
   options.connect_timeout = kOrderTimeout;
   options.answer_timeout = kOrderTimeout;
+  options.total_timeout = 2 * kOrderTimeout;
+  options.body_limit = kMaxReportBytes;
   // Answers to orders name no request; on a new connection only the order can
   // be answered.
   options.needs_new_connection = true;
@@ -351,6 +355,8 @@
   net::CallOptions options;
   options.connect_timeout = kOrderTimeout;
   options.answer_timeout = kOrderTimeout;
+  options.total_timeout = 2 * kOrderTimeout;
+  options.body_limit = kMaxReportBytes;
   options.unstated_idle_limit = std::chrono::nanoseconds(0);
   fleet_.WatchAnswers(runner, options);
   auto answer =
--- a/src/load/driver.cc
+++ b/src/load/driver.cc
@@ -154,6 +154,8 @@
         options_.targets[next_target_++ % options_.targets.size()];
     net::CallOptions call;
     call.answer_timeout = options_.timeout;
+    call.total_timeout = std::max<std::chrono::nanoseconds>(call.total_timeout,
+                                                            options_.timeout);
     net::Request request = MakeHttp(generated);
     auto opened = co_await client_.Open(target, std::move(request), call);
     if (!opened.ok()) {
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -8,7 +8,7 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/error.hpp>
 #include <charconv>
 #include <tuple>
 #include <utility>
@@ -30,7 +30,10 @@
 }
 
 constexpr std::size_t kReadBytes = 16 * 1024;
-// Limit on an answer that `Call` holds in memory.
+// Limit on what was received and cannot be parsed yet: a head, or within a body
+// the line before a chunk or the trailer.
+constexpr std::size_t kMaxUnparsedBytes = 64 * 1024;
+// Limit on an answer that `Call` holds in memory, and on one that is skipped.
 constexpr std::size_t kMaxCallBytes = 8 * 1024 * 1024;
 
 std::int64_t Millis(nanoseconds duration) {
@@ -42,7 +45,7 @@
 struct AnswerStream::Connection {
   Address address;
   tcp::socket socket;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxUnparsedBytes};
   Watchdog watchdog{socket};
   RuntimeClock::time_point idle_until;
   bool is_new = true;
@@ -63,10 +66,12 @@
 };
 
 AnswerStream::AnswerStream(std::shared_ptr<Connection> connection,
-                           HttpClient& client, CallOptions options)
+                           HttpClient& client, CallOptions options,
+                           RuntimeClock::time_point deadline)
     : connection_(std::move(connection)),
       client_(client),
-      options_(std::move(options)) {
+      options_(std::move(options)),
+      deadline_(deadline) {
   is_first_ = connection_->is_new;
   ResetParser();
 }
@@ -74,7 +79,6 @@
 void AnswerStream::ResetParser() {
   parser_ = std::make_unique<http::response_parser<http::string_body>>();
   parser_->body_limit(options_.body_limit);
-  parser_->eager(true);
 }
 
 nanoseconds AnswerStream::IdleLimit() const {
@@ -97,26 +101,21 @@
   const auto start = RuntimeClock::now();
   auto limit = start + options_.answer_timeout;
   for (int heads = 0; heads <= kMaxInterimHeads; ++heads) {
-    Watchdog& watchdog = connection_->watchdog;
-    error_code code;
-    for (;;) {
-      watchdog.Arm(limit - RuntimeClock::now());
-      std::tie(code, std::ignore) = co_await http::async_read_header(
-          connection_->socket, connection_->buffer, *parser_, kAsTuple);
-      watchdog.Disarm();
-      if (!code || !ExtendWait()) break;
-      limit = RuntimeClock::now() + options_.answer_timeout;
+    error_code code = ParseBuffered(/*is_head_only=*/true);
+    while (!code && !parser_->is_header_done()) {
+      code = co_await Receive(limit);
+      if (is_out_of_time_ && ExtendWait()) {
+        limit = RuntimeClock::now() + options_.answer_timeout;
+        code = {};
+      }
+      if (!code) code = ParseBuffered(/*is_head_only=*/true);
     }
     if (code) {
-      const ErrorId id = watchdog.has_expired() ? ErrorId::kTargetSilent
-                                                : ErrorId::kTargetFailed;
       const std::string what =
-          watchdog.has_expired()
-              ? fmt::format("no answer within {} ms",
-                            Millis(RuntimeClock::now() - start))
-              : "no answer: " + code.message();
-      co_return MakeError(id, connection_->address, what,
-                          ExchangeStage::kRequestWritten);
+          is_out_of_time_ ? fmt::format("no answer within {} ms",
+                                        Millis(RuntimeClock::now() - start))
+                          : "no answer: " + code.message();
+      co_return ToError(code, what, ExchangeStage::kRequestWritten);
     }
     if (options_.on_head) options_.on_head(head());
     if (status() >= kFinalStatus) co_return Done{};
@@ -127,9 +126,21 @@
                       ExchangeStage::kRequestWritten);
 }
 
+Error AnswerStream::ToError(const error_code& code, std::string_view what,
+                            ExchangeStage stage) const {
+  const bool is_too_large = code == http::error::header_limit ||
+                            code == http::error::body_limit ||
+                            code == http::error::buffer_overflow;
+  ErrorId id = ErrorId::kTargetFailed;
+  if (is_out_of_time_) id = ErrorId::kTargetSilent;
+  if (is_too_large) id = ErrorId::kTargetAnswerInvalid;
+  return MakeError(id, connection_->address, what, stage);
+}
+
 asio::awaitable<Result<Done>> AnswerStream::SkipAnswer() {
   is_reusable_ = false;
   is_first_ = false;
+  std::size_t skipped = 0;
   while (!parser_->is_done()) {
     auto part = co_await Read();
     if (!part.ok()) {
@@ -138,6 +149,15 @@
                       Verdict::kMayHaveRun};
     }
     if (part.value().empty()) break;
+    skipped += part.value().size();
+    if (skipped > kMaxCallBytes) {
+      co_return Error{
+          ErrorId::kTargetAnswerInvalid,
+          fmt::format("{}: an answer to another request is over "
+                      "{} bytes",
+                      ToString(connection_->address), kMaxCallBytes),
+          Verdict::kMayHaveRun};
+    }
   }
   ResetParser();
   co_return co_await ReadHead();
@@ -151,10 +171,10 @@
   connection_->socket.close(ignored);
 }
 
-error_code AnswerStream::ParseBuffered() {
+error_code AnswerStream::ParseBuffered(bool is_head_only) {
   beast::flat_buffer& buffer = connection_->buffer;
   error_code code;
-  while (buffer.size() > 0 && !parser_->is_done()) {
+  while (buffer.size() > 0 && !IsParsed(is_head_only)) {
     const std::size_t used = parser_->put(buffer.data(), code);
     buffer.consume(used);
     if (code == http::error::need_more) return {};
@@ -164,52 +184,66 @@
 }
 
 bool AnswerStream::ExtendWait() {
-  if (!connection_->watchdog.has_expired() || !options_.more_time) return false;
+  const bool may_extend = options_.more_time && RuntimeClock::now() < deadline_;
+  if (!may_extend) return false;
   options_.answer_timeout = options_.more_time();
   return options_.answer_timeout > nanoseconds(0);
 }
 
-asio::awaitable<error_code> AnswerStream::ReadMore() {
+asio::awaitable<error_code> AnswerStream::Receive(
+    RuntimeClock::time_point limit) {
   beast::flat_buffer& buffer = connection_->buffer;
-  error_code code;
-  std::size_t bytes = 0;
-  do {
-    connection_->watchdog.Arm(options_.answer_timeout);
-    std::tie(code, bytes) = co_await connection_->socket.async_read_some(
-        buffer.prepare(kReadBytes), kAsTuple);
-    connection_->watchdog.Disarm();
-  } while (code && bytes == 0 && ExtendWait());
+  const std::size_t space =
+      std::min(kReadBytes, buffer.max_size() - buffer.size());
+  if (space == 0) co_return http::error::buffer_overflow;
+  // The watchdog ends a wait, but no sequence of reads that never wait.
+  const auto until = std::min(limit, deadline_);
+  const auto now = RuntimeClock::now();
+  is_out_of_time_ = now >= until;
+  if (is_out_of_time_) co_return asio::error::timed_out;
+  connection_->watchdog.Arm(until - now);
+  const auto [code, bytes] = co_await connection_->socket.async_read_some(
+      buffer.prepare(space), kAsTuple);
+  connection_->watchdog.Disarm();
   buffer.commit(bytes);
+  if (bytes > 0) co_return error_code();
+  is_out_of_time_ = code && connection_->watchdog.has_expired();
   if (code != asio::error::eof) co_return code;
+  if (!parser_->got_some()) co_return http::error::end_of_stream;
   // The end of the connection may also be the end of the answer.
   error_code at_end;
   parser_->put_eof(at_end);
   co_return at_end;
 }
 
+asio::awaitable<error_code> AnswerStream::ReceiveBody() {
+  error_code code;
+  do {
+    code = co_await Receive(RuntimeClock::now() + options_.answer_timeout);
+  } while (is_out_of_time_ && ExtendWait());
+  co_return code;
+}
+
 asio::awaitable<Result<std::string>> AnswerStream::Read() {
   std::string& body = parser_->get().body();
   error_code code;
   // Beast's own read operation costs about twice the processor time.
   for (;;) {
-    code = ParseBuffered();
+    code = ParseBuffered(/*is_head_only=*/false);
     if (code || !body.empty() || parser_->is_done()) break;
-    code = co_await ReadMore();
+    code = co_await ReceiveBody();
     if (code) break;
   }
   if (code) {
-    const Address address = connection_->address;
-    const bool is_silent = connection_->watchdog.has_expired();
     connection_->socket.close();
-    if (is_silent) {
-      co_return MakeError(ErrorId::kTargetSilent, address,
-                          fmt::format("sent nothing for {} ms",
-                                      Millis(options_.answer_timeout)),
-                          ExchangeStage::kResponseStarted);
+    std::string what = "the answer broke off: " + code.message();
+    if (is_out_of_time_) {
+      what = RuntimeClock::now() >= deadline_
+                 ? "the answer was not complete in time"
+                 : fmt::format("sent nothing for {} ms",
+                               Millis(options_.answer_timeout));
     }
-    co_return MakeError(ErrorId::kTargetFailed, address,
-                        "the answer broke off: " + code.message(),
-                        ExchangeStage::kResponseStarted);
+    co_return ToError(code, what, ExchangeStage::kResponseStarted);
   }
   std::string part = std::exchange(body, std::string());
   const bool is_reusable = part.empty() && connection_ && is_reusable_ &&
@@ -281,10 +315,10 @@
 }
 
 Result<Done> HttpClient::StartWrite(AnswerStream& answer,
-                                    const std::string& wire) {
+                                    std::shared_ptr<const std::string> wire) {
   tcp::socket& socket = answer.connection_->socket;
   error_code code;
-  std::size_t sent = socket.write_some(asio::buffer(wire), code);
+  std::size_t sent = socket.write_some(asio::buffer(*wire), code);
   if (code == asio::error::would_block) {
     code = {};
     sent = 0;
@@ -294,33 +328,45 @@
                      "the request broke off: " + code.message(),
                      ExchangeStage::kBeforeFirstByte);
   }
-  if (sent == wire.size()) return Done{};
+  if (sent == wire->size()) return Done{};
   // A failure shows when the answer is read.
-  // The operation has several steps and may outlive the answer: a step that
-  // has completed goes on with the next one after the socket was closed.
-  auto rest = std::make_shared<std::string>(wire.substr(sent));
   answer.connection_->is_written = false;
-  asio::async_write(socket, asio::buffer(*rest),
-                    [rest, connection = answer.connection_](
-                        const error_code& failure, std::size_t) {
-                      connection->is_written = !failure;
-                    });
+  SendRest(answer.connection_, std::move(wire), sent);
   return Done{};
 }
 
+// The operation has several steps and may outlive the answer: a step that has
+// completed goes on with the next one after the socket was closed.
+void HttpClient::SendRest(std::shared_ptr<Connection> connection,
+                          std::shared_ptr<const std::string> wire,
+                          std::size_t sent) {
+  tcp::socket& socket = connection->socket;
+  const auto rest = asio::buffer(*wire) + sent;
+  asio::async_write(
+      socket, rest,
+      [connection = std::move(connection), wire = std::move(wire)](
+          const error_code& failure, std::size_t /*bytes*/) {
+        connection->is_written = !failure;
+      });
+}
+
 asio::awaitable<Result<std::unique_ptr<AnswerStream>>> HttpClient::Open(
     Address address, Request request, CallOptions options) {
   if (request.find(http::field::host) == request.end()) {
     request.set(http::field::host, ToString(address));
   }
   request.prepare_payload();
-  const auto wire = ToWire(request);
-  if (!wire) {
+  auto serialized = ToWire(request);
+  if (!serialized) {
     co_return MakeError(ErrorId::kTargetFailed, address,
                         "the request cannot be serialized",
                         ExchangeStage::kBeforeFirstByte);
   }
+  auto wire = std::make_shared<const std::string>(std::move(*serialized));
+  // A body may be large, and is in `wire` now.
+  request = Request();
   const auto start = RuntimeClock::now();
+  const auto deadline = start + options.total_timeout;
   for (;;) {
     auto acquired = co_await Acquire(address, options);
     if (!acquired.ok()) co_return acquired.error();
@@ -332,14 +378,15 @@
     }
     CallOptions rest = options;
     if (rest.more_time) rest.answer_timeout -= RuntimeClock::now() - start;
-    std::unique_ptr<AnswerStream> answer(
-        new AnswerStream(std::move(acquired.value()), *this, std::move(rest)));
-    auto written = StartWrite(*answer, *wire);
+    std::unique_ptr<AnswerStream> answer(new AnswerStream(
+        std::move(acquired.value()), *this, std::move(rest), deadline));
+    auto written = StartWrite(*answer, wire);
     if (!written.ok()) {
       // The peer closed the idle connection; nothing was sent.
       if (!is_new) continue;
       co_return written.error();
     }
+    wire.reset();
     auto head = co_await answer->ReadHead();
     if (!head.ok()) co_return head.error();
     co_return answer;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -29,6 +29,8 @@
   /// head counts from the start of the call, as the limit is then a time that
   /// does not move while the connection is established.
   std::chrono::nanoseconds answer_timeout = std::chrono::seconds(10);
+  /// Longest time for the whole call, however steadily its answer arrives.
+  std::chrono::nanoseconds total_timeout = std::chrono::seconds(60);
   /// A new connection leaves no doubt about whether bytes went out, because
   /// no earlier use can have closed it.
   bool needs_new_connection = false;
@@ -72,7 +74,8 @@
   asio::awaitable<Result<std::string>> Read();
   /// Discards this answer and waits for the head of the next one on the same
   /// connection, which is then not used again. For answers that belong to
-  /// another request. @pre nothing of the body was used.
+  /// another request. Fails if this answer is too long to be skipped. @pre
+  /// nothing of the body was used.
   asio::awaitable<Result<Done>> SkipAnswer();
   /// Replaces the longest wait for the next bytes. @pre none.
   void set_answer_timeout(std::chrono::nanoseconds timeout) {
@@ -84,16 +87,27 @@
   struct Connection;
 
   AnswerStream(std::shared_ptr<Connection> connection, HttpClient& client,
-               CallOptions options);
+               CallOptions options, RuntimeClock::time_point deadline);
 
   // Reads heads until one is final.
   asio::awaitable<Result<Done>> ReadHead();
   void ResetParser();
-  // Parses what was received.
-  error_code ParseBuffered();
-  asio::awaitable<error_code> ReadMore();
+  // Whether the end of the head, or of the whole answer, was parsed.
+  bool IsParsed(bool is_head_only) const {
+    return is_head_only ? parser_->is_header_done() : parser_->is_done();
+  }
+  // Parses what was received, up to the end of the head or of the answer.
+  error_code ParseBuffered(bool is_head_only);
+  // Receives bytes until `limit` or the end of the call's time, which sets
+  // `is_out_of_time_`.
+  asio::awaitable<error_code> Receive(RuntimeClock::time_point limit);
+  // The same with `answer_timeout` as the limit, which is extended if the
+  // caller wants it.
+  asio::awaitable<error_code> ReceiveBody();
   // Whether the wait that has just expired goes on; sets its new limit.
   bool ExtendWait();
+  Error ToError(const error_code& code, std::string_view what,
+                ExchangeStage stage) const;
   // How long the connection may wait for its next request.
   std::chrono::nanoseconds IdleLimit() const;
 
@@ -101,6 +115,9 @@
   std::shared_ptr<Connection> connection_;
   HttpClient& client_;
   CallOptions options_;
+  // When the whole call must be complete.
+  RuntimeClock::time_point deadline_;
+  bool is_out_of_time_ = false;
   std::unique_ptr<http::response_parser<http::string_body>> parser_;
   bool is_reusable_ = true;
   bool is_first_ = true;
@@ -121,8 +138,9 @@
   /// The loop that the client runs on. @pre none.
   asio::io_context& context() { return context_; }
 
-  /// Sends a request and reads the whole answer. An error's verdict says
-  /// whether the other end may have acted. @pre called on the client's loop.
+  /// Sends a request and reads the whole answer, of at most 8 MB. An error's
+  /// verdict says whether the other end may have acted. @pre called on the
+  /// client's loop.
   asio::awaitable<Result<Response>> Call(Address address, Request request,
                                          CallOptions options);
   /// Sends a request and reads the answer's head. @pre as for `Call`.
@@ -142,7 +160,12 @@
       const Address& address, const CallOptions& options);
   // Starts to send; what the socket does not take at once goes on in the
   // background, so that an early answer is seen.
-  Result<Done> StartWrite(AnswerStream& answer, const std::string& wire);
+  Result<Done> StartWrite(AnswerStream& answer,
+                          std::shared_ptr<const std::string> wire);
+  // Sends what follows the first `sent` bytes.
+  static void SendRest(std::shared_ptr<Connection> connection,
+                       std::shared_ptr<const std::string> wire,
+                       std::size_t sent);
   std::shared_ptr<Connection> TakeIdle(const Address& address);
   void PutIdle(std::shared_ptr<Connection> connection);
 
--- a/src/net/serialize.h
+++ b/src/net/serialize.h
@@ -19,7 +19,10 @@
     http::message<kIsRequest, http::string_body>& message) {
   http::serializer<kIsRequest, http::string_body> serializer(message);
   boost::system::error_code code;
+  // Most heads are shorter.
+  constexpr std::size_t kHeadBytes = 1024;
   std::string wire;
+  wire.reserve(message.body().size() + kHeadBytes);
   while (!serializer.is_done() && !code) {
     serializer.next(code, [&](auto& /*next*/, const auto& buffers) {
       for (auto it = boost::asio::buffer_sequence_begin(buffers);
--- a/src/platform/host_list.cc
+++ b/src/platform/host_list.cc
@@ -94,6 +94,7 @@
   net::Request request = net::MakeRequest(net::http::verb::get, target);
   net::CallOptions options;
   options.answer_timeout = std::chrono::seconds(2);
+  options.total_timeout = std::chrono::seconds(5);
   auto response =
       co_await client.Call(std::move(address), std::move(request), options);
   if (!response.ok()) co_return HostListError(response.error().message);
--- a/src/platform/log_client.cc
+++ b/src/platform/log_client.cc
@@ -90,6 +90,7 @@
   net::CallOptions options;
   options.connect_timeout = options_.timeout;
   options.answer_timeout = options_.timeout;
+  options.total_timeout = 3 * options_.timeout;
   auto response = co_await client_.Call(address_, std::move(request), options);
   if (!response.ok()) {
     failures_.Add();
@@ -126,6 +127,7 @@
   net::CallOptions options;
   options.connect_timeout = options_.timeout;
   options.answer_timeout = options_.timeout + wait;
+  options.total_timeout = 3 * options_.timeout + wait;
   auto response = co_await client_.Call(address_, std::move(request), options);
   if (!response.ok()) {
     failures_.Add();
--- a/src/router/load_poller.cc
+++ b/src/router/load_poller.cc
@@ -72,6 +72,7 @@
   net::CallOptions options;
   options.connect_timeout = kInterval;
   options.answer_timeout = kInterval;
+  options.total_timeout = 2 * kInterval;
   auto response =
       co_await client_.Call(target.host.address, std::move(request), options);
   if (!response.ok()) {
--- a/standins/engine_main.cc
+++ b/standins/engine_main.cc
@@ -400,6 +400,7 @@
         net::MakeRequest(net::http::verb::get, "/v1/weights/" + version);
     net::CallOptions options;
     options.answer_timeout = std::chrono::seconds(60);
+    options.total_timeout = std::chrono::seconds(120);
     co_await client_.Call(*store, std::move(request), options);
   }
 
--- a/tests/src/process-target_bytes.cpp
+++ b/tests/src/process-target_bytes.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <mutex>
 #include <thread>
+#include <vector>
 
 #include "src/net/runtime.h"
 #include "tests/support/platform_fleet.h"
@@ -53,27 +54,38 @@
   int requests() const { return requests_; }
 
  private:
+  // The router also polls a target, beside the request of a test.
   void Serve() {
+    std::vector<std::thread> connections;
     for (;;) {
       net::tcp::socket socket = acceptor_.accept();
-      if (is_stopping_) return;
-      net::error_code code;
-      std::string request;
-      net::asio::read_until(socket, net::asio::dynamic_buffer(request),
-                            "\r\n\r\n", code);
-      if (code) continue;
-      ++requests_;
-      const std::string answer = PrepareAnswer(socket);
-      std::size_t sent =
-          net::asio::write(socket, net::asio::buffer(answer), code);
-      while (!repeated_.empty() && !code && !is_stopping_) {
-        sent += net::asio::write(socket, net::asio::buffer(repeated_), code);
+      if (is_stopping_) break;
+      connections.emplace_back(
+          [this, taken = std::move(socket)]() mutable { Answer(taken); });
+    }
+    for (std::thread& connection : connections) connection.join();
+  }
+
+  void Answer(net::tcp::socket& socket) {
+    net::error_code code;
+    std::string request;
+    net::asio::read_until(socket, net::asio::dynamic_buffer(request),
+                          "\r\n\r\n", code);
+    if (code) return;
+    ++requests_;
+    const std::string answer = PrepareAnswer(socket);
+    std::size_t sent =
+        net::asio::write(socket, net::asio::buffer(answer), code);
+    while (!repeated_.empty() && !code && !is_stopping_) {
+      sent += net::asio::write(socket, net::asio::buffer(repeated_), code);
+      {
+        const std::lock_guard lock(mutex_);
         most_bytes_ = std::max(most_bytes_.load(), sent);
-        std::this_thread::sleep_for(pause_);
       }
-      // The destructor would not reset.
-      socket.close(code);
+      std::this_thread::sleep_for(pause_);
     }
+    // The destructor would not reset.
+    socket.close(code);
   }
 
   std::string PrepareAnswer(net::tcp::socket& socket) {
@@ -126,15 +138,18 @@
     EXPECT_TRUE(
         Eventually([&] { return fleet_.Metric(0, "beryllane_targets") == 1; }));
   }
-  std::string Chat(const std::string& path) const {
+  std::string Chat(const std::string& path,
+                   milliseconds deadline = milliseconds(3000),
+                   milliseconds patience = milliseconds(4000)) const {
     return CallRaw(
         fleet_.router_address(0),
         "POST " + path + " HTTP/1.1\r\nHost: " + PlatformFleet::kHost +
             "\r\nCredential: " + PlatformFleet::kKey +
             "\r\nAttempt-Id: c\r\nModel: m1\r\nToken-Usage: 10,20\r\n"
-            "Prompt-Prefix: a:5,b:5\r\nDeadline-Ms: 3000\r\n"
-            "Connection: close\r\nContent-Length: 0\r\n\r\n",
-        milliseconds(4000));
+            "Prompt-Prefix: a:5,b:5\r\nDeadline-Ms: " +
+            std::to_string(deadline.count()) +
+            "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+        patience);
   }
 
   PlatformFleet fleet_;
@@ -312,6 +327,97 @@
   EXPECT_LT(target.most_bytes(), kMaxAnswerBytes);
 }
 
+// Begins of chunked bodies whose next line has no end: that of a chunk, the
+// same after a whole chunk, and a trailer.
+std::vector<std::string> EndlessLines() {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nResponse-Seal: s\r\n"
+      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string event = "f\r\nid: 1\ndata: a\n\n\r\n";
+  return {head + "5;", head + event + "5;", head + event + "0\r\n"};
+}
+
+// Chunk extensions and trailers were kept without a bound.
+TEST_F(TargetBytes, ALineWithoutEndInABodyIsCutAtABound) {
+  ScriptedTarget target("", std::string(65536, 'x'));
+  Register(target, "desk");
+  for (const std::string& begin : EndlessLines()) {
+    target.set_answer(begin, /*is_reset=*/false);
+    const auto answer = fleet_.Send(0, "/book/x", "r");
+    ASSERT_TRUE(answer.ok()) << begin;
+    EXPECT_EQ(answer.value().result_int(), 502U) << begin;
+    EXPECT_LT(target.most_bytes(), kMaxAnswerBytes) << begin;
+  }
+}
+
+// Chunk extensions and trailers were kept without a bound.
+TEST_F(TargetBytes, ALineWithoutEndInAStreamIsCutAtABound) {
+  ScriptedTarget target("", std::string(65536, 'x'));
+  Register(target, "scribe");
+  for (const std::string& begin : EndlessLines()) {
+    target.set_answer(begin, /*is_reset=*/false);
+    for (const char* path : {"/chat/x", "/advice/x"}) {
+      EXPECT_FALSE(Chat(path).ends_with(kLastChunk)) << begin;
+    }
+    EXPECT_LT(target.most_bytes(), kMaxAnswerBytes) << begin;
+  }
+}
+
+// The wait for an answer to this request began anew with each byte of another.
+TEST_F(TargetBytes, AnAnswerToAnotherRequestWithoutEndIsCutAtABound) {
+  const std::string other = "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\n\r\n";
+  const ScriptedTarget target(other, std::string(65536, 'x'));
+  Register(target, "desk");
+  const auto answer = fleet_.Send(0, "/book/x", "r", {{"Deadline-Ms", "2000"}});
+  ASSERT_TRUE(answer.ok());
+  EXPECT_EQ(answer.value().result_int(), 502U);
+  EXPECT_LT(target.most_bytes(), kMaxAnswerBytes);
+}
+
+// The wait for an answer to this request began anew with each byte of another.
+TEST_F(TargetBytes, AnAnswerToAnotherRequestThatDripsIsCutAtTheDeadline) {
+  const ScriptedTarget target("HTTP/1.1 200 OK\r\nAttempt-Id: other\r\n\r\n",
+                              "x", milliseconds(50));
+  Register(target, "desk");
+  const auto start = std::chrono::steady_clock::now();
+  const auto answer = fleet_.Send(0, "/book/x", "r", {{"Deadline-Ms", "600"}});
+  ASSERT_TRUE(answer.ok());
+  EXPECT_EQ(answer.value().result_int(), 504U);
+  EXPECT_LT(std::chrono::steady_clock::now() - start, milliseconds(1500));
+}
+
+// Bytes that came in quick succession kept an answer beyond its deadline.
+TEST_F(TargetBytes, ASteadyAnswerIsCutAtTheDeadline) {
+  ScriptedTarget target("", "x");
+  Register(target, "desk");
+  for (const char* status : {"200 OK", "500 Error"}) {
+    target.set_answer(
+        std::string("HTTP/1.1 ") + status + "\r\nResponse-Seal: s\r\n\r\n",
+        /*is_reset=*/false);
+    const auto start = std::chrono::steady_clock::now();
+    const auto answer =
+        fleet_.Send(0, "/book/x", "r", {{"Deadline-Ms", "800"}});
+    ASSERT_TRUE(answer.ok());
+    EXPECT_GE(answer.value().result_int(), 500U);
+    EXPECT_LT(std::chrono::steady_clock::now() - start, milliseconds(1300));
+  }
+}
+
+// Bytes that came in quick succession kept a stream beyond its deadline.
+TEST_F(TargetBytes, ASteadyStreamIsCutAtTheDeadline) {
+  const ScriptedTarget target(StreamHead(), "data: a\n\n");
+  Register(target, "scribe");
+  for (const char* path : {"/chat/x", "/advice/x"}) {
+    const auto start = std::chrono::steady_clock::now();
+    const std::string answer =
+        Chat(path, /*deadline=*/milliseconds(1000), milliseconds(1500));
+    EXPECT_NE(answer.find("data: a\n\n"), std::string::npos)
+        << path << answer.substr(0, 1000);
+    EXPECT_FALSE(answer.ends_with(kLastChunk));
+    EXPECT_LT(std::chrono::steady_clock::now() - start, milliseconds(1500));
+  }
+}
+
 TEST_F(TargetBytes, BytesThatAreNoAnswerAreCutAtABound) {
   const ScriptedTarget target("", std::string(65536, 'x'));
   Register(target, "desk");
