Bound the memory for bodies, and what a request sends without end

Chunk lines and trailers of a request were kept without a bound for 15 s. Cause: each body was bounded, their sum was not; a body was held up to four times. The new tests need the new interface; on the code before, there is nothing to count. Change: bodies and held answers share a quarter of the memory that the settings state. A request without room is refused with 503 before its body is read, with a log line and a counter. The server reads at most 64 KB that it cannot parse.

--- a/src/exchange/engine.cc
+++ b/src/exchange/engine.cc
@@ -150,7 +150,8 @@
     if (!part.ok()) co_return;
     if (part.value().empty()) break;
     body += part.value();
-    if (body.size() > kMaxBufferedBytes) co_return;
+    const bool has_room = exchange_.TryHoldAnswer(body.size());
+    if (body.size() > kMaxBufferedBytes || !has_room) co_return;
   }
   failure_response_ = CallProtocol(protocol_, [&](auto& d) {
     return d.BufferedResponse(response, std::move(body), target);
@@ -227,6 +228,13 @@
           {ErrorId::kTargetAnswerInvalid,
            target.id + " sent a body that is too large", Verdict::kRan}};
     }
+    if (!exchange_.TryHoldAnswer(body.size())) {
+      co_return AttemptResult{
+          std::nullopt,
+          {ErrorId::kOverloaded,
+           "other messages take up the memory for the body of " + target.id,
+           Verdict::kRan}};
+    }
   }
   ForwardResult result;
   result.kind = ForwardResult::Kind::kResponse;
--- a/src/fleet/fleet_node.cc
+++ b/src/fleet/fleet_node.cc
@@ -46,6 +46,25 @@
           net::ToString({settings.ip, relay_port})};
 }
 
+// Share of the process's memory that bodies may take up.
+constexpr std::size_t kHeldShare = 4;
+
+net::ServerLimits CallerServerLimits(const platform::Settings& settings) {
+  net::ServerLimits limits;
+  if (settings.memory_bytes > 0) {
+    limits.held_bytes = settings.memory_bytes / kHeldShare;
+  }
+  return limits;
+}
+
+net::Response RejectInput(const Error& error) {
+  if (error.id == ErrorId::kOverloaded) {
+    telemetry::Log(Level::kWarning, telemetry::event::kRequestFailed,
+                   {{"error", Name(error.id)}, {"message", error.message}});
+  }
+  return caller::ErrorResponse(error);
+}
+
 net::Response PlainAnswer(int status, std::string text) {
   return net::MakeResponse(status, std::move(text), "text/plain");
 }
@@ -77,8 +96,9 @@
       frontend_(settings_, client_, fleet_, peers_, quarantine_, follower_,
                 loop_lag_, metrics_),
       caller_server_(
-          pool_, {}, [this](net::Exchange& e) { return frontend_.Handle(e); },
-          caller::ErrorResponse),
+          pool_, CallerServerLimits(settings_),
+          [this](net::Exchange& e) { return frontend_.Handle(e); },
+          RejectInput),
       readiness_server_(
           pool_, {}, [this](net::Exchange& e) { return AnswerReady(e); },
           caller::ErrorResponse),
@@ -124,6 +144,13 @@
   metrics_.AddCallbackGauge(
       "beryllane_exchanges_running", "Requests being answered now",
       [this] { return static_cast<double>(caller_server_.running()); });
+  metrics_.AddCallbackGauge(
+      "beryllane_held_bytes", "Memory that bodies of requests and answers hold",
+      [this] { return static_cast<double>(caller_server_.held().held()); });
+  metrics_.AddCallbackGauge(
+      "beryllane_held_bytes_refusals_total",
+      "Bodies for which there was no memory",
+      [this] { return static_cast<double>(caller_server_.held().refusals()); });
   metrics_.AddCallbackGauge(
       "beryllane_config_age_seconds",
       "Age of the proof that the configuration is the newest", [this] {
@@ -314,7 +341,7 @@
   // callers that reuse an idle connection late.
   constexpr milliseconds kIdleMargin{1000};
   constexpr std::size_t kHeadMargin = 1024;
-  net::ServerLimits limits;
+  net::ServerLimits limits = CallerServerLimits(settings_);
   limits.head_bytes = configured.head_bytes + kHeadMargin;
   limits.body_bytes = configured.body_bytes;
   limits.head_timeout = configured.head_timeout;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,5 +1,6 @@
 #include "src/net/http_server.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -29,6 +30,12 @@
 using IoResult = std::tuple<error_code, std::size_t>;
 
 constexpr std::size_t kReadBuffer = 16 * 1024;
+// Limit on what was received and cannot be parsed yet, beside the head: the
+// line before a chunk, or the trailer.
+constexpr std::size_t kMaxUnparsedBytes = 64 * 1024;
+// A body is held as received and, until it is sent, as a part of the request to
+// the target.
+constexpr std::size_t kBodyCopies = 2;
 
 Error TooSlow(std::string_view part, std::chrono::milliseconds limit) {
   return {ErrorId::kSlowSender,
@@ -51,6 +58,11 @@
                  fmt::format("the body is over {} bytes", limits.body_bytes),
                  Verdict::kNotRun};
   }
+  if (code == asio::error::no_buffer_space) {
+    return Error{ErrorId::kOverloaded,
+                 "the bodies of other requests take up the memory",
+                 Verdict::kNotRun};
+  }
   if (code == http::error::end_of_stream || code == asio::error::eof ||
       code == http::error::partial_message) {
     return std::nullopt;
@@ -71,15 +83,37 @@
   co_return IoResult(code, bytes);
 }
 
+// Reads the rest of a request; `no_buffer_space` if `held` has no room for it.
+asio::awaitable<error_code> ReadBody(tcp::socket& socket,
+                                     beast::flat_buffer& buffer,
+                                     const Watchdog& watchdog,
+                                     RequestParser& parser, HeldBytes& held) {
+  error_code code;
+  while (!code && !parser.is_done() && !watchdog.has_expired()) {
+    std::tie(code, std::ignore) =
+        co_await http::async_read_some(socket, buffer, parser, kAsTuple);
+    const std::size_t size = parser.get().body().size();
+    if (!held.TryGrowTo(kBodyCopies * size)) {
+      co_return asio::error::no_buffer_space;
+    }
+  }
+  if (code == http::error::buffer_overflow) {
+    co_return http::error::bad_chunk_extension;
+  }
+  co_return code;
+}
+
 }  // namespace
 
 Exchange::Exchange(tcp::socket& socket, Request request, bool close_after,
-                   const ServerLimits& limits, std::size_t loop)
+                   const ServerLimits& limits, std::size_t loop,
+                   HeldBytes& held)
     : socket_(socket),
       request_(std::move(request)),
       close_after_(close_after),
       limits_(limits),
-      loop_(loop) {}
+      loop_(loop),
+      held_(held) {}
 
 std::string Exchange::PeerIp() const {
   error_code code;
@@ -193,8 +227,10 @@
 }
 
 struct HttpServer::Session {
-  Session(tcp::socket open, Shard& own_shard)
-      : socket(std::move(open)), shard(own_shard) {}
+  Session(tcp::socket open, Shard& own_shard, std::size_t head_bytes)
+      : socket(std::move(open)),
+        shard(own_shard),
+        buffer(std::max(head_bytes, kMaxUnparsedBytes) + kReadBuffer) {}
 
   tcp::socket socket;
   Shard& shard;
@@ -304,7 +340,7 @@
 asio::awaitable<void> HttpServer::Serve(tcp::socket socket, Shard& shard) {
   error_code ignored;
   SetStreamOptions(socket);
-  Session session(std::move(socket), shard);
+  Session session(std::move(socket), shard, limits_.head_bytes);
   try {
     while (co_await ServeOne(session)) {
     }
@@ -327,7 +363,7 @@
 }
 
 asio::awaitable<std::optional<Request>> HttpServer::ReadRequest(
-    Session& session) {
+    Session& session, HeldBytes& held) {
   RequestParser parser;
   parser.header_limit(static_cast<std::uint32_t>(limits_.head_bytes));
   parser.body_limit(limits_.body_bytes);
@@ -340,6 +376,13 @@
                          TooSlow("head", limits_.head_timeout));
     co_return std::nullopt;
   }
+  // Refused at once, where the length is known, so that the body is not sent in
+  // vain.
+  const auto length = parser.content_length();
+  if (length && !held.TryGrowTo(kBodyCopies * *length)) {
+    co_await RejectInput(session, asio::error::no_buffer_space, Error());
+    co_return std::nullopt;
+  }
   if (Header(parser.get(), "Expect") == "100-continue") {
     constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
     co_await asio::async_write(session.socket, asio::buffer(kContinue),
@@ -347,10 +390,10 @@
   }
   if (parser.is_done()) co_return parser.release();
   session.watchdog.Arm(limits_.body_timeout);
-  const auto [body_code, body_bytes] = co_await http::async_read(
-      session.socket, session.buffer, parser, kAsTuple);
+  const error_code body_code = co_await ReadBody(
+      session.socket, session.buffer, session.watchdog, parser, held);
   session.watchdog.Disarm();
-  if (!body_code) co_return parser.release();
+  if (!body_code && parser.is_done()) co_return parser.release();
   co_await RejectInput(session, body_code,
                        TooSlow("body", limits_.body_timeout));
   co_return std::nullopt;
@@ -358,13 +401,14 @@
 
 asio::awaitable<bool> HttpServer::ServeOne(Session& session) {
   if (!co_await WaitForRequest(session)) co_return false;
-  auto request = co_await ReadRequest(session);
+  HeldBytes held(held_limit_);
+  auto request = co_await ReadRequest(session, held);
   if (!request) co_return false;
   running_.fetch_add(1);
   const std::shared_ptr<void> running_guard(
       nullptr, [this](void*) { running_.fetch_sub(1); });
   Exchange exchange(session.socket, std::move(*request), is_closing_.load(),
-                    limits_, session.shard.index);
+                    limits_, session.shard.index, held);
   ++session.served;
   co_await handler_(exchange);
   co_return exchange.is_reusable() && !is_closing_.load();
@@ -382,21 +426,25 @@
 }
 
 asio::awaitable<void> HttpServer::Reject(Session& session, Error error) {
+  HeldBytes held(held_limit_);
   Exchange exchange(session.socket, Request{}, /*close_after=*/true, limits_,
-                    session.shard.index);
+                    session.shard.index, held);
   co_await exchange.Respond(format_rejection_(error));
   // Discard what the peer still sends, so that the answer is not lost to a
   // reset.
   constexpr std::chrono::milliseconds kLinger{200};
-  constexpr int kMaxReads = 64;
+  constexpr std::chrono::milliseconds kMaxLinger{2000};
+  const auto until = RuntimeClock::now() + kMaxLinger;
   error_code ignored;
   session.socket.shutdown(tcp::socket::shutdown_send, ignored);
-  for (int i = 0; i < kMaxReads; ++i) {
+  std::size_t discarded = 0;
+  while (discarded <= limits_.body_bytes && RuntimeClock::now() < until) {
     session.buffer.clear();
     session.watchdog.Arm(kLinger);
     const auto [code, bytes] =
         co_await ReadSome(session.socket, session.buffer);
     if (code) co_return;
+    discarded += bytes;
   }
 }
 
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -16,6 +16,7 @@
 
 #include "beryllane/error/error.h"
 #include "src/net/address.h"
+#include "src/net/held_bytes.h"
 #include "src/net/http_types.h"
 #include "src/net/runtime.h"
 
@@ -30,6 +31,9 @@
   std::chrono::milliseconds idle_timeout{60000};
   std::chrono::milliseconds write_timeout{15000};
   std::size_t max_connections = 8192;
+  /// Memory for the bodies of all exchanges together. A request that finds no
+  /// room is refused before its body is read.
+  std::size_t held_bytes = 1024 * 1024 * 1024;
   /// Whether one request may be answered twice, as faulty servers do.
   bool allows_second_answer = false;
 };
@@ -37,9 +41,9 @@
 /// One request and the means to answer it. Used by one coroutine.
 class Exchange {
  public:
-  /// @pre `socket` outlives the exchange.
+  /// @pre `socket` and `held` outlive the exchange.
   Exchange(tcp::socket& socket, Request request, bool close_after,
-           const ServerLimits& limits, std::size_t loop);
+           const ServerLimits& limits, std::size_t loop, HeldBytes& held);
   Exchange(const Exchange&) = delete;
   Exchange& operator=(const Exchange&) = delete;
 
@@ -47,6 +51,11 @@
   const Request& request() const { return request_; }
   /// Takes the body out of the request. @pre none. Not thread-safe.
   std::string TakeBody() { return std::move(request_.body()); }
+  /// Reserves memory for an answer that is held until it is complete, of
+  /// `bytes` so far; false if there is none. @pre none.
+  bool TryHoldAnswer(std::size_t bytes) {
+    return held_.TryGrowForAnswerTo(request_bytes_ + bytes);
+  }
   /// Index of the loop that serves the connection. @pre none.
   std::size_t loop() const { return loop_; }
   /// When the head had been read. @pre none.
@@ -95,6 +104,10 @@
   bool close_after_;
   ServerLimits limits_;
   std::size_t loop_;
+  HeldBytes& held_;
+  // What was sent of the request to a target is not held any more when the
+  // answer arrives.
+  std::size_t request_bytes_ = request_.body().size();
   RuntimeClock::time_point started_ = RuntimeClock::now();
   bool is_started_ = false;
   bool is_finished_ = false;
@@ -129,7 +142,12 @@
   void CloseIdle();
   /// Replaces the limits for what is read from now on. @pre on the loop of a
   /// pool of one.
-  void set_limits(const ServerLimits& limits) { limits_ = limits; }
+  void set_limits(const ServerLimits& limits) {
+    limits_ = limits;
+    held_limit_.set_most(limits.held_bytes);
+  }
+  /// Memory held by bodies. @pre none. Thread-safe.
+  const HeldBytesLimit& held() const { return held_limit_; }
   /// Exchanges being answered. @pre none. Thread-safe.
   std::int64_t running() const { return running_.load(); }
 
@@ -150,13 +168,15 @@
   asio::awaitable<void> Serve(tcp::socket socket, Shard& shard);
   asio::awaitable<bool> ServeOne(Session& session);
   asio::awaitable<bool> WaitForRequest(Session& session);
-  asio::awaitable<std::optional<Request>> ReadRequest(Session& session);
+  asio::awaitable<std::optional<Request>> ReadRequest(Session& session,
+                                                      HeldBytes& held);
   asio::awaitable<void> RejectInput(Session& session, error_code code,
                                     Error if_slow);
   asio::awaitable<void> Reject(Session& session, Error error);
 
   ContextPool& pool_;
   ServerLimits limits_;
+  HeldBytesLimit held_limit_{limits_.held_bytes};
   Handler handler_;
   RejectionFormatter format_rejection_;
   std::vector<std::unique_ptr<Shard>> shards_;
--- a/tests/src/unit-http_server.cpp
+++ b/tests/src/unit-http_server.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <memory>
+#include <thread>
 #include <vector>
 
 #include "beryllane/invariant/invariant.h"
@@ -108,5 +110,91 @@
   EXPECT_LT(turns, kConnections / 2);
 }
 
+// A server whose handler waits until `may_answer` holds.
+class HeldBodies : public ::testing::Test {
+ protected:
+  static constexpr std::size_t kBody = 40000;
+
+  HeldBodies() {
+    ServerLimits limits;
+    // Two copies of a body fit, but not four.
+    limits.held_bytes = 3 * kBody;
+    server_ = std::make_unique<HttpServer>(
+        pool_, limits, [this](Exchange& exchange) { return Handle(exchange); },
+        [](const Error& error) {
+          return MakeResponse(HttpStatus(error.id), error.message,
+                              "text/plain");
+        });
+    address_ = server_->Listen({"127.0.0.1", 0}).value();
+    pool_.Start();
+  }
+  ~HeldBodies() override {
+    may_answer_ = true;
+    pool_.Stop();
+    pool_.Join();
+  }
+
+  std::string Send(const std::string& framing, const std::string& body) const {
+    return testing::CallRaw(
+        address_,
+        "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" + framing +
+            "\r\n\r\n" + body,
+        std::chrono::seconds(10));
+  }
+  std::string SendLength(std::size_t size) const {
+    return Send("Content-Length: " + std::to_string(size),
+                std::string(size, 'x'));
+  }
+  std::string SendChunks(std::size_t size) const {
+    constexpr std::size_t kChunk = 1000;
+    std::string body;
+    for (std::size_t i = 0; i < size; i += kChunk) {
+      body += "3e8\r\n" + std::string(kChunk, 'x') + "\r\n";
+    }
+    return Send("Transfer-Encoding: chunked", body + "0\r\n\r\n");
+  }
+  bool IsHeld() const { return server_->held().held() >= 2 * kBody; }
+
+  ContextPool pool_{1};
+  std::unique_ptr<HttpServer> server_;
+  Address address_;
+  std::atomic<bool> may_answer_{false};
+
+ private:
+  asio::awaitable<void> Handle(Exchange& exchange) {
+    while (!may_answer_) {
+      co_await Sleep(std::chrono::milliseconds(5));
+    }
+    Response response = MakeResponse(200, "done", "text/plain");
+    co_await exchange.Respond(std::move(response));
+  }
+};
+
+// Bodies of many requests at once took up all memory.
+TEST_F(HeldBodies, ABodyWithoutRoomIsRefusedUntilAnotherIsAnswered) {
+  std::thread first(
+      [this] { EXPECT_TRUE(SendLength(kBody).starts_with("HTTP/1.1 200")); });
+  ASSERT_TRUE(testing::Eventually([this] { return IsHeld(); }));
+  EXPECT_TRUE(SendLength(kBody).starts_with("HTTP/1.1 503"));
+  EXPECT_TRUE(SendChunks(kBody).starts_with("HTTP/1.1 503"));
+  EXPECT_EQ(server_->held().refusals(), 2U);
+  may_answer_ = true;
+  first.join();
+  EXPECT_TRUE(
+      testing::Eventually([this] { return server_->held().held() == 0; }));
+  EXPECT_TRUE(SendLength(kBody).starts_with("HTTP/1.1 200"));
+  EXPECT_TRUE(SendChunks(kBody).starts_with("HTTP/1.1 200"));
+}
+
+// Chunk extensions and trailers of requests were kept without a bound.
+TEST_F(HeldBodies, LinesWithoutEndInAChunkedBodyAreRefused) {
+  constexpr std::size_t kMany = 4 * 1024 * 1024;
+  for (const std::string begin : {"5;", "5\r\nhello\r\n0\r\n"}) {
+    const std::string answer =
+        Send("Transfer-Encoding: chunked", begin + std::string(kMany, 'x'));
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 400")) << answer;
+  }
+}
+
 }  // namespace
 }  // namespace beryllane::net
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -173,11 +173,13 @@
       "[listen]\nfront = \"{}\"\nready = \"{}\"\n"
       "[bounds]\nrevokeMs = 3000\nstrictRevocation = true\nleaseMs = 1000\n"
       "graceS = 8\nretryBudgetSlack = 200\nversionMs = {}\n"
+      "[limits]\nmemoryMb = {}\n"
       "[platform]\naddress = \"{}\"\n",
       i, router_ports_[i].ip, kZones[i % 3], i % 3 == 2 ? "r2" : "r1",
       peer_ports_[i].port, peer_ports_[i].port + 1,
       net::ToString(router_ports_[i]), net::ToString(ready_ports_[i]),
-      older_weights_lifetime_.count(), net::ToString(store_ports_[i]));
+      older_weights_lifetime_.count(), kMemoryMb,
+      net::ToString(store_ports_[i]));
 }
 
 void PlatformFleet::StartRouter(int i) {
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -24,6 +24,8 @@
   static constexpr const char* kHost = "shop.example";
   static constexpr const char* kKey = "key-of-workshop";
   static constexpr const char* kModel = "m1";
+  /// Memory that a router's settings state.
+  static constexpr int kMemoryMb = 100;
 
   /// With `relay`, routers reach each target and the store (as
   /// `store-of-router-N`) where it says, and targets write `TargetLog`.
