Bound the records that are kept for the zone by their size

What callers saw: nothing yet; found by reading. Cause: up to 1,000 records of a topic were kept for other routers, and a configuration may have 256 KB, so that frequent changes of a large one could take 250 MB. Evidence: RecordRelayTail.KeepsNoMoreBytesThanItsLimit; there was no such limit before. Change: at most 4 MB of keys and values a topic. A router that needs more reads the store, as it did beyond the 1,000 records.

--- a/src/fleet/record_relay.cc
+++ b/src/fleet/record_relay.cc
@@ -50,7 +50,7 @@
 }  // namespace
 
 void RecordTail::Reset(const platform::RecordPage& newest) {
-  records_.clear();
+  DropRecords();
   first_ = newest.next;
   end_ = newest.next;
   newest_.emplace();
@@ -61,12 +61,13 @@
 
 void RecordTail::Add(std::uint64_t from, const platform::RecordPage& page) {
   if (from != end_) {
-    records_.clear();
+    DropRecords();
     newest_.reset();
     first_ = from;
   }
   for (const auto& record : page.records) {
     records_.push_back(record);
+    bytes_ += SizeOf(record);
     if (!newest_) continue;
     if (record.value.empty()) {
       newest_->erase(record.key);
@@ -75,7 +76,8 @@
     }
   }
   end_ = page.next;
-  while (records_.size() > kMaxRecords) {
+  while (records_.size() > kMaxRecords || bytes_ > kMaxBytes) {
+    bytes_ -= SizeOf(records_.front());
     first_ = records_.front().offset + 1;
     records_.pop_front();
   }
--- a/src/fleet/record_relay.h
+++ b/src/fleet/record_relay.h
@@ -26,6 +26,8 @@
  public:
   /// Maximum number of records kept for followers.
   static constexpr std::size_t kMaxRecords = 1000;
+  /// Maximum size of their keys and values.
+  static constexpr std::size_t kMaxBytes = 4 * 1024 * 1024;
 
   /// Replaces everything by the newest record of each key. @pre none.
   void Reset(const platform::RecordPage& newest);
@@ -48,7 +50,7 @@
   std::uint64_t end() const { return end_; }
   /// Forgets all records; nothing is served until the next `Add`. @pre none.
   void Clear() {
-    records_.clear();
+    DropRecords();
     newest_.reset();
     first_ = kNothing;
     end_ = kNothing;
@@ -58,9 +60,19 @@
   static constexpr std::uint64_t kNothing =
       std::numeric_limits<std::uint64_t>::max();
 
+  static std::size_t SizeOf(const platform::KeyedRecord& record) {
+    return record.key.size() + record.value.size();
+  }
+  void DropRecords() {
+    records_.clear();
+    bytes_ = 0;
+  }
+
   std::uint64_t first_ = 0;
   std::uint64_t end_ = 0;
   std::deque<platform::KeyedRecord> records_;
+  // Size of `records_`.
+  std::size_t bytes_ = 0;
   // By key.
   std::optional<std::map<std::string, platform::KeyedRecord>> newest_;
 };
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -672,6 +672,22 @@
   EXPECT_EQ(tail.ReadFrom(20)->next, 21U);
 }
 
+// The number of records alone did not bound the memory.
+TEST(RecordRelayTail, KeepsNoMoreBytesThanItsLimit) {
+  constexpr std::size_t kRecordBytes = 256 * 1024;
+  constexpr std::uint64_t kRecords = 100;
+  RecordTail tail;
+  for (std::uint64_t i = 0; i < kRecords; ++i) {
+    tail.Add(i, {{{"config", std::string(kRecordBytes, 'x'), i}}, i + 1});
+  }
+  const std::uint64_t kept = RecordTail::kMaxBytes / kRecordBytes;
+  EXPECT_FALSE(tail.ReadFrom(kRecords - kept));
+  const auto page = tail.ReadFrom(kRecords - kept + 1);
+  ASSERT_TRUE(page);
+  EXPECT_EQ(page->records.size(), kept - 1);
+  EXPECT_EQ(page->next, kRecords);
+}
+
 TEST(RecordRelayTail, GivesTheNewestOfEachKeyToAFollowerThatHasNothing) {
   RecordTail tail;
   EXPECT_FALSE(tail.Read(std::nullopt));
