Go on with the request where the wait for its answer goes on

Cause: the end of one wait cancels all operations of the socket, also the one that sends the rest of the request. Where the wait was extended, the rest was never sent, and the target waited for it until the deadline. Evidence: HttpClientWait.AnExtendedWaitDoesNotCutTheRequest on: 3,985,003 of 33,554,432 bytes arrived. Change: a cancelled write goes on while the socket is open. Result: the test passes.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -342,12 +342,20 @@
                           std::size_t sent) {
   tcp::socket& socket = connection->socket;
   const auto rest = asio::buffer(*wire) + sent;
-  asio::async_write(
-      socket, rest,
-      [connection = std::move(connection), wire = std::move(wire)](
-          const error_code& failure, std::size_t /*bytes*/) {
-        connection->is_written = !failure;
-      });
+  asio::async_write(socket, rest,
+                    [connection = std::move(connection), wire = std::move(wire),
+                     sent](const error_code& failure, std::size_t bytes) {
+                      // The watchdog of a wait that goes on has cancelled this,
+                      // too.
+                      const bool is_cancelled =
+                          failure == asio::error::operation_aborted &&
+                          connection->socket.is_open();
+                      if (is_cancelled) {
+                        SendRest(connection, wire, sent + bytes);
+                      } else {
+                        connection->is_written = !failure;
+                      }
+                    });
 }
 
 asio::awaitable<Result<std::unique_ptr<AnswerStream>>> HttpClient::Open(
--- a/tests/src/unit-http_client.cpp
+++ b/tests/src/unit-http_client.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <optional>
 #include <string>
@@ -50,12 +51,14 @@
   tcp::socket server_;
   HttpClient client_;
   std::optional<Error> error_;
+  std::string body_;
 
  private:
   asio::awaitable<void> Run(CallOptions options) {
     const Address address{"127.0.0.1", acceptor_.local_endpoint().port()};
     auto answer = co_await client_.Open(
-        address, MakeRequest(http::verb::get, "/", "", ""), std::move(options));
+        address, MakeRequest(http::verb::post, "/", body_, ""),
+        std::move(options));
     EXPECT_FALSE(answer.ok());
     if (!answer.ok()) error_ = answer.error();
   }
@@ -108,5 +111,25 @@
       << error_->message;
 }
 
+// The end of one wait also ended the sending of the request.
+TEST_F(HttpClientWait, AnExtendedWaitDoesNotCutTheRequest) {
+  constexpr std::size_t kMoreThanTheSystemTakes = 32 * 1024 * 1024;
+  body_ = std::string(kMoreThanTheSystemTakes, 'x');
+  CallOptions options;
+  options.answer_timeout = milliseconds(1000);
+  options.more_time = [] { return milliseconds(1000); };
+  Call(std::move(options));
+  Advance(milliseconds(1500));
+  ASSERT_FALSE(has_ended());
+  std::string received;
+  asio::async_read(server_, asio::dynamic_buffer(received),
+                   asio::transfer_at_least(kMoreThanTheSystemTakes),
+                   [](const error_code&, std::size_t) {});
+  for (int i = 0; i < 50 && received.size() < kMoreThanTheSystemTakes; ++i) {
+    Settle();
+  }
+  EXPECT_GE(received.size(), kMoreThanTheSystemTakes);
+}
+
 }  // namespace
 }  // namespace beryllane::net
