Let the bytes that a request holds share their limit

Cause: a rejected connection lingers, and its coroutine may be destroyed after its server, as a server goes before the loops. HeldBytes then wrote to the limit of the server that was gone. Change: the limit is shared.

--- a/src/net/held_bytes.h
+++ b/src/net/held_bytes.h
@@ -6,6 +6,8 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
+#include <utility>
 
 namespace beryllane::net {
 
@@ -47,9 +49,11 @@
 /// coroutine.
 class HeldBytes {
  public:
-  /// @pre `limit` outlives this object.
-  explicit HeldBytes(HeldBytesLimit& limit) : limit_(limit) {}
-  ~HeldBytes() { limit_.Release(bytes_); }
+  /// Shares the limit, since a connection may outlive its server. @pre `limit`
+  /// is not null.
+  explicit HeldBytes(std::shared_ptr<HeldBytesLimit> limit)
+      : limit_(std::move(limit)) {}
+  ~HeldBytes() { limit_->Release(bytes_); }
   HeldBytes(const HeldBytes&) = delete;
   HeldBytes& operator=(const HeldBytes&) = delete;
 
@@ -57,22 +61,22 @@
   std::size_t bytes() const { return bytes_; }
   /// Raises the bytes held to `bytes`; false if the limit has no room for them.
   /// Less than what is held changes nothing. @pre none.
-  bool TryGrowTo(std::size_t bytes) { return TryGrow(bytes, limit_.most_); }
+  bool TryGrowTo(std::size_t bytes) { return TryGrow(bytes, limit_->most_); }
   /// The same for an answer, which has as much room again: its request was
   /// taken, and may have run. @pre none.
   bool TryGrowForAnswerTo(std::size_t bytes) {
-    return TryGrow(bytes, 2 * limit_.most_);
+    return TryGrow(bytes, 2 * limit_->most_);
   }
 
  private:
   bool TryGrow(std::size_t bytes, std::size_t most) {
     if (bytes <= bytes_) return true;
-    if (!limit_.TryAdd(bytes - bytes_, most)) return false;
+    if (!limit_->TryAdd(bytes - bytes_, most)) return false;
     bytes_ = bytes;
     return true;
   }
 
-  HeldBytesLimit& limit_;
+  std::shared_ptr<HeldBytesLimit> limit_;
   std::size_t bytes_ = 0;
 };
 
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -144,10 +144,10 @@
   /// pool of one.
   void set_limits(const ServerLimits& limits) {
     limits_ = limits;
-    held_limit_.set_most(limits.held_bytes);
+    held_limit_->set_most(limits.held_bytes);
   }
   /// Memory held by bodies. @pre none. Thread-safe.
-  const HeldBytesLimit& held() const { return held_limit_; }
+  const HeldBytesLimit& held() const { return *held_limit_; }
   /// Exchanges being answered. @pre none. Thread-safe.
   std::int64_t running() const { return running_.load(); }
 
@@ -176,7 +176,8 @@
 
   ContextPool& pool_;
   ServerLimits limits_;
-  HeldBytesLimit held_limit_{limits_.held_bytes};
+  std::shared_ptr<HeldBytesLimit> held_limit_ =
+      std::make_shared<HeldBytesLimit>(limits_.held_bytes);
   Handler handler_;
   RejectionFormatter format_rejection_;
   std::vector<std::unique_ptr<Shard>> shards_;
