--- a/tests/src/process-large_bodies.cpp
+++ b/tests/src/process-large_bodies.cpp
@@ -35,6 +35,10 @@
       const auto answer = fleet.Send(0, "/book/x", id, {}, body);
       const int status =
           answer.ok() ? static_cast<int>(answer.value().result_int()) : 0;
+      EXPECT_TRUE(status == 200 || status == 503)
+          << id << ": "
+          << (answer.ok() ? answer.value().body().substr(0, 200)
+                          : answer.error().message);
       if (status == 200) ++served;
       if (status == 503) ++refused;
       EXPECT_EQ(fleet.RunsOf(id), status == 200 ? 1 : 0) << id;
