Log the ends of processes, tasks and requests that left no trace

Callers saw: processes that ended and requests without an answer, of which the logs and metrics told nothing.

Cause: an exception that left a detached coroutine or a handler was swallowed, a connection that closed without an answer was not counted, and a fatal signal or an uncaught exception wrote no line.

Change: tasks that nobody waits for are started by net::Spawn, which logs and counts their failure (task-failed). The server counts each request that it read by its end: answered, caller gone, cut; reads are always the sum of these and of what runs. Exchanges that are cut leave a line (exchange-cut), a stop says what it cut and what it had not read yet, and a crash writes its signal and stack, or its exception. No decision changes.

--- a/apps/beryllaned.cc
+++ b/apps/beryllaned.cc
@@ -16,6 +16,7 @@
 #include "src/router/node.h"
 #include "src/router/settings.h"
 #include "src/settings/flag_source.h"
+#include "src/telemetry/crash_log.h"
 #include "src/telemetry/log.h"
 
 ABSL_FLAG(std::string, listen, "", "address for callers, ip:port");
@@ -210,6 +211,7 @@
 }
 
 int Main(int argc, char** argv) {
+  telemetry::InstallCrashLog();
   const auto line = settings::ReadCommandLine(argc, argv, FlagNames());
   if (line.wants_help) {
     std::printf("beryllaned: routes language-model traffic.\n\n%s",
--- a/src/fleet/cache_follower.cc
+++ b/src/fleet/cache_follower.cc
@@ -1,13 +1,12 @@
 #include "src/fleet/cache_follower.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <optional>
 #include <utility>
 
 #include "platform/request_codec.h"
 #include "src/fleet/pause_record.h"
 #include "src/fleet/placement.h"
+#include "src/net/spawn.h"
 #include "src/telemetry/log.h"
 
 namespace beryllane::fleet {
@@ -55,8 +54,7 @@
       if (!is_engine || followed_.contains(id) || !MayPoll(*runner)) continue;
       if (!peers_.FollowsCacheOf(*runner)) continue;
       followed_.insert(id);
-      net::asio::co_spawn(client_.context(), Follow(runner),
-                          net::asio::detached);
+      net::Spawn(client_.context().get_executor(), "cache", Follow(runner));
     }
   }
 }
--- a/src/fleet/fleet_node.cc
+++ b/src/fleet/fleet_node.cc
@@ -1,14 +1,13 @@
 #include "src/fleet/fleet_node.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <utility>
 
 #include "platform/config_codec.h"
 #include "src/caller/error_response.h"
+#include "src/net/spawn.h"
 #include "src/telemetry/log.h"
 
 namespace beryllane::fleet {
@@ -144,6 +143,7 @@
   metrics_.AddCallbackGauge(
       "beryllane_exchanges_running", "Requests being answered now",
       [this] { return static_cast<double>(caller_server_.running()); });
+  RegisterExchangeGauges();
   metrics_.AddCallbackGauge(
       "beryllane_held_bytes", "Memory that bodies of requests and answers hold",
       [this] { return static_cast<double>(caller_server_.held().held()); });
@@ -185,6 +185,34 @@
       [] { return static_cast<double>(telemetry::DroppedLogLines()); });
 }
 
+void FleetNode::RegisterExchangeGauges() {
+  const net::ExchangeCounts& counts = caller_server_.counts();
+  const auto add = [this](const std::string& name, const std::string& help,
+                          const std::atomic<std::uint64_t>& count) {
+    metrics_.AddCallbackGauge(
+        name, help, [&count] { return static_cast<double>(count.load()); });
+  };
+  add("beryllane_exchanges_read_total", "Requests read from callers",
+      counts.read);
+  add("beryllane_exchanges_answered_total", "Requests answered completely",
+      counts.answered);
+  add("beryllane_exchanges_caller_gone_total",
+      "Requests whose caller left before the answer was complete",
+      counts.caller_gone);
+  add("beryllane_exchanges_cut_total",
+      "Requests whose connection was closed before the answer was complete",
+      counts.cut);
+  metrics_.AddCallbackGauge(
+      "beryllane_exchanges_reading", "Requests being read now",
+      [this] { return static_cast<double>(caller_server_.reading()); });
+  metrics_.AddCallbackGauge(
+      "beryllane_caller_connections", "Open connections of callers",
+      [this] { return static_cast<double>(caller_server_.connections()); });
+  metrics_.AddCallbackGauge(
+      "beryllane_task_failures_total", "Tasks that an exception ended",
+      [] { return static_cast<double>(net::TaskFailures()); });
+}
+
 void FleetNode::RegisterPauseGauges() {
   metrics_.AddCallbackGauge(
       "beryllane_fleet_paused_targets",
@@ -232,20 +260,22 @@
                   {"availability_zone", settings_.availability_zone},
                   {"region", settings_.region}});
   net::asio::io_context& loop = pool_.at(0);
-  using net::asio::co_spawn;
-  using net::asio::detached;
-  co_spawn(loop, loop_lag_.Run(), detached);
-  co_spawn(loop, follower_.Run(), detached);
-  co_spawn(loop, peers_.Run(), detached);
-  co_spawn(loop, quarantine_.Run(), detached);
-  co_spawn(loop, cache_follower_.Run(), detached);
-  co_spawn(loop, rollout_.Run(), detached);
-  co_spawn(loop, WatchReadiness(), detached);
-  co_spawn(loop, AwaitStop(), detached);
-  co_spawn(loop, AwaitReload(), detached);
+  const auto executor = loop.get_executor();
+  net::Spawn(executor, "loop-lag", loop_lag_.Run());
+  net::Spawn(executor, "store", follower_.Run());
+  net::Spawn(executor, "peers", peers_.Run());
+  net::Spawn(executor, "quarantine", quarantine_.Run());
+  net::Spawn(executor, "caches", cache_follower_.Run());
+  net::Spawn(executor, "rollout", rollout_.Run());
+  net::Spawn(executor, "readiness", WatchReadiness());
+  net::Spawn(executor, "stop", AwaitStop());
+  net::Spawn(executor, "reload", AwaitReload());
   loop.run();
   telemetry::Log(Level::kInfo, telemetry::event::kStopped,
-                 {{"cut", caller_server_.running()}});
+                 {{"cut", caller_server_.running()},
+                  {"cut_unread", caller_server_.reading()},
+                  {"read", caller_server_.counts().read.load()},
+                  {"answered", caller_server_.counts().answered.load()}});
   return Done{};
 }
 
--- a/src/fleet/fleet_node.h
+++ b/src/fleet/fleet_node.h
@@ -43,6 +43,7 @@
   void ApplyLimits();
   void UpdateRetryOptions();
   void RegisterGauges();
+  void RegisterExchangeGauges();
   // An answer first announced that a target leaves.
   void OnLeaving(Runner& runner, const platform::TargetNotice& notice);
   void RegisterPauseGauges();
--- a/src/fleet/part_quarantine.cc
+++ b/src/fleet/part_quarantine.cc
@@ -1,22 +1,19 @@
 #include "src/fleet/part_quarantine.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <charconv>
 #include <utility>
 
 #include "fmt/format.h"
 #include "src/fleet/placement.h"
 #include "src/net/connect_check.h"
+#include "src/net/spawn.h"
 #include "src/telemetry/log.h"
 
 namespace beryllane::fleet {
 namespace {
 
 using net::asio::awaitable;
-using net::asio::co_spawn;
-using net::asio::detached;
 using nlohmann::json;
 using quarantine::Admission;
 using quarantine::Progress;
@@ -148,7 +145,7 @@
     if (admission != Admission::kTrialDue || trials_.contains(part)) continue;
     if (!trial_claims_.insert(part).second) continue;
     const int strikes = table_.entries().at(part).strikes + 1;
-    co_spawn(loop_, ClaimTrial(part, strikes), detached);
+    net::Spawn(loop_.get_executor(), "claim-trial", ClaimTrial(part, strikes));
   }
   request.is_trial_ = refused_parts == 1 && trials_.erase(refused_part) > 0;
   auto refusal = FindQuarantined(request);
@@ -198,7 +195,9 @@
     pending->second.push_back({request.parts()[depth], ProgressOf(request),
                                depth, request.sent_at()});
   }
-  if (is_first) co_spawn(loop_, ConfirmCrash(request.runner_), detached);
+  if (!is_first) return;
+  net::Spawn(loop_.get_executor(), "confirm-crash",
+             ConfirmCrash(request.runner_));
 }
 
 awaitable<void> PartQuarantine::ConfirmCrash(std::shared_ptr<Runner> runner) {
@@ -327,7 +326,9 @@
   const bool is_stored =
       !verdict.empty() && verdict.mapped().stored_strikes > 0;
   const bool is_news = source != kFromStore && source != kFromPeer;
-  if (is_stored && is_news) co_spawn(loop_, DeleteVerdict(part), detached);
+  if (is_stored && is_news) {
+    net::Spawn(loop_.get_executor(), "delete-verdict", DeleteVerdict(part));
+  }
   telemetry::Log(Level::kInfo, telemetry::event::kPartReleased,
                  {{"part", NameOf(part)}, {"source", source}});
 }
--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -1,13 +1,12 @@
 #include "src/fleet/peers.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "beryllane/placement/prefix_policy.h"
 #include "beryllane/placement/rendezvous.h"
+#include "src/net/spawn.h"
 #include "src/telemetry/log.h"
 
 namespace beryllane::fleet {
@@ -87,8 +86,8 @@
   while (!co_await Register()) {
     co_await net::Sleep(kRegisterBackoff);
   }
-  net::asio::co_spawn(co_await net::asio::this_coro::executor,
-                      RegisterAfterRestores(), net::asio::detached);
+  net::Spawn(co_await net::asio::this_coro::executor, "registration",
+             RegisterAfterRestores());
   for (;;) {
     // Scaling the intervals with the number of routers keeps the rate at each
     // receiver constant.
--- a/src/fleet/store_follower.cc
+++ b/src/fleet/store_follower.cc
@@ -1,7 +1,5 @@
 #include "src/fleet/store_follower.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <random>
 #include <set>
 #include <utility>
@@ -10,6 +8,7 @@
 #include "src/fleet/first_sources.h"
 #include "src/fleet/part_quarantine.h"
 #include "src/fleet/peers.h"
+#include "src/net/spawn.h"
 #include "src/telemetry/log.h"
 
 namespace beryllane::fleet {
@@ -90,8 +89,8 @@
 awaitable<void> StoreFollower::Run() {
   co_await ReadFirst();
   const auto executor = co_await net::asio::this_coro::executor;
-  net::asio::co_spawn(executor, FollowTargets(), net::asio::detached);
-  net::asio::co_spawn(executor, FollowQuarantine(), net::asio::detached);
+  net::Spawn(executor, "store-targets", FollowTargets());
+  net::Spawn(executor, "store-quarantine", FollowQuarantine());
   co_await FollowOperator();
 }
 
--- a/src/fleet/weights_rollout.cc
+++ b/src/fleet/weights_rollout.cc
@@ -1,14 +1,13 @@
 #include "src/fleet/weights_rollout.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "beryllane/rollout/planner.h"
 #include "platform/request_codec.h"
 #include "src/fleet/pause_record.h"
+#include "src/net/spawn.h"
 #include "src/telemetry/log.h"
 
 namespace beryllane::fleet {
@@ -230,9 +229,8 @@
        rollout::PlanOrders(states, work.version, limits)) {
     const auto& runner = work.runners[index];
     in_progress_[runner->entry.id] = now;
-    net::asio::co_spawn(client_.context(),
-                        UpdateTarget(runner, work.model, work.version),
-                        net::asio::detached);
+    net::Spawn(client_.context().get_executor(), "update-target",
+               UpdateTarget(runner, work.model, work.version));
   }
 }
 
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
@@ -20,7 +18,9 @@
 #include "fmt/format.h"
 #include "src/net/serialize.h"
 #include "src/net/socket_options.h"
+#include "src/net/spawn.h"
 #include "src/net/watchdog.h"
+#include "src/telemetry/log.h"
 
 namespace beryllane::net {
 namespace {
@@ -75,6 +75,12 @@
   return std::nullopt;
 }
 
+// Raises `count` until the result is released.
+std::shared_ptr<void> CountWhileHeld(std::atomic<std::int64_t>& count) {
+  count.fetch_add(1);
+  return {nullptr, [&count](void*) { count.fetch_sub(1); }};
+}
+
 asio::awaitable<IoResult> ReadSome(tcp::socket& socket,
                                    beast::flat_buffer& buffer) {
   auto space = buffer.prepare(kReadBuffer);
@@ -272,7 +278,7 @@
                              code.message()),
                  Verdict::kNotRun};
   }
-  asio::co_spawn(pool_.at(0), AcceptLoop(), asio::detached);
+  Spawn(pool_.at(0).get_executor(), "accept", AcceptLoop());
   return Address{address.ip, acceptor_->local_endpoint().port()};
 }
 
@@ -333,8 +339,8 @@
   }
   // Counted here, as the connection may start on another loop.
   connections_.fetch_add(1);
-  asio::co_spawn(*shard.context, Serve(std::move(socket), shard),
-                 asio::detached);
+  Spawn(shard.context->get_executor(), "connection",
+        Serve(std::move(socket), shard));
 }
 
 asio::awaitable<void> HttpServer::Serve(tcp::socket socket, Shard& shard) {
@@ -344,8 +350,8 @@
   try {
     while (co_await ServeOne(session)) {
     }
-  } catch (const std::exception&) {
-    // The connection ends; the handler reported what it knew.
+  } catch (const std::exception& error) {
+    ReportTaskFailure("connection", error.what());
   }
   session.socket.shutdown(tcp::socket::shutdown_both, ignored);
   connections_.fetch_sub(1);
@@ -402,18 +408,41 @@
 asio::awaitable<bool> HttpServer::ServeOne(Session& session) {
   if (!co_await WaitForRequest(session)) co_return false;
   HeldBytes held(held_limit_);
+  std::shared_ptr<void> reading_guard = CountWhileHeld(reading_);
   auto request = co_await ReadRequest(session, held);
   if (!request) co_return false;
-  running_.fetch_add(1);
-  const std::shared_ptr<void> running_guard(
-      nullptr, [this](void*) { running_.fetch_sub(1); });
+  counts_.read.fetch_add(1);
+  const std::shared_ptr<void> running_guard = CountWhileHeld(running_);
+  reading_guard.reset();
   Exchange exchange(session.socket, std::move(*request), is_closing_.load(),
                     limits_, session.shard.index, held);
   ++session.served;
-  co_await handler_(exchange);
+  std::string failure;
+  try {
+    co_await handler_(exchange);
+  } catch (const std::exception& error) {
+    failure = error.what();
+    ReportTaskFailure("handler", failure);
+  }
+  CountEnd(exchange, failure);
   co_return exchange.is_reusable() && !is_closing_.load();
 }
 
+void HttpServer::CountEnd(const Exchange& exchange,
+                          const std::string& failure) {
+  if (exchange.is_finished()) {
+    counts_.answered.fetch_add(1);
+  } else if (exchange.IsCallerGone()) {
+    counts_.caller_gone.fetch_add(1);
+  } else {
+    counts_.cut.fetch_add(1);
+    telemetry::Log(telemetry::Level::kWarning, telemetry::event::kExchangeCut,
+                   {{"target", std::string(Target(exchange.request()))},
+                    {"is_started", exchange.is_started()},
+                    {"message", failure}});
+  }
+}
+
 asio::awaitable<void> HttpServer::RejectInput(Session& session, error_code code,
                                               Error if_slow) {
   if (session.watchdog.has_expired()) {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -88,6 +88,8 @@
 
   /// Whether anything was sent. @pre none.
   bool is_started() const { return is_started_; }
+  /// Whether the response is complete. @pre none.
+  bool is_finished() const { return is_finished_; }
   /// Whether the response is complete and the connection may go on.
   bool is_reusable() const {
     return is_finished_ && !close_after_ && request_.keep_alive();
@@ -113,6 +115,18 @@
   bool is_finished_ = false;
 };
 
+/// How the requests that a server has read ended. Their sum and the exchanges
+/// that run are the requests read. Thread-safe.
+struct ExchangeCounts {
+  std::atomic<std::uint64_t> read{0};
+  /// With a complete answer.
+  std::atomic<std::uint64_t> answered{0};
+  /// With less, since the caller had closed the connection.
+  std::atomic<std::uint64_t> caller_gone{0};
+  /// With less, while the caller waited.
+  std::atomic<std::uint64_t> cut{0};
+};
+
 /// Answers one request.
 using Handler = std::function<asio::awaitable<void>(Exchange&)>;
 
@@ -150,6 +164,13 @@
   const HeldBytesLimit& held() const { return *held_limit_; }
   /// Exchanges being answered. @pre none. Thread-safe.
   std::int64_t running() const { return running_.load(); }
+  /// Requests that are being read, and rejections being sent. @pre none.
+  /// Thread-safe.
+  std::int64_t reading() const { return reading_.load(); }
+  /// Connections that are open. @pre none. Thread-safe.
+  std::int64_t connections() const { return connections_.load(); }
+  /// How exchanges ended. @pre none. Thread-safe.
+  const ExchangeCounts& counts() const { return counts_; }
 
  private:
   struct Session;
@@ -167,6 +188,8 @@
   Shard& NextShard() { return *shards_[next_shard_++ % shards_.size()]; }
   asio::awaitable<void> Serve(tcp::socket socket, Shard& shard);
   asio::awaitable<bool> ServeOne(Session& session);
+  // Counts the end of an exchange; logs one that was cut, with its `failure`.
+  void CountEnd(const Exchange& exchange, const std::string& failure);
   asio::awaitable<bool> WaitForRequest(Session& session);
   asio::awaitable<std::optional<Request>> ReadRequest(Session& session,
                                                       HeldBytes& held);
@@ -184,6 +207,8 @@
   std::unique_ptr<tcp::acceptor> acceptor_;
   std::atomic<std::int64_t> connections_{0};
   std::atomic<std::int64_t> running_{0};
+  std::atomic<std::int64_t> reading_{0};
+  ExchangeCounts counts_;
   std::atomic<bool> is_closing_{false};
   std::size_t next_shard_ = 0;
 };
--- a/src/telemetry/log.h
+++ b/src/telemetry/log.h
@@ -56,6 +56,11 @@
 inline constexpr std::string_view kTargetCrashed = "target-crashed";
 inline constexpr std::string_view kPartQuarantined = "part-quarantined";
 inline constexpr std::string_view kPartReleased = "part-released";
+inline constexpr std::string_view kTaskFailed = "task-failed";
+inline constexpr std::string_view kExchangeCut = "exchange-cut";
+inline constexpr std::string_view kWaitingToStart = "waiting-to-start";
+inline constexpr std::string_view kSignalled = "signalled";
+inline constexpr std::string_view kCrashed = "crashed";
 }  // namespace event
 
 /// Sets the level (`debug`, `info`, `warning` or `error`) and the fields that
