Answer requests and keep loops running where an exception ends them

Callers saw: requests without an answer until they gave up, connections closed without an answer, and routers that went on without a part of themselves, for example without reading the store or writing verdicts.

Cause: an exception has no owner in three places. One that leaves a branch of operator|| counts as no result, so that the others wait on: a TRACE request with a body was held until its caller left. One that leaves a handler closed the connection. One that leaves a detached coroutine ended it for the life of the process: an answer of the store with a field of another type ended the loop that follows it, a prompt part that is no UTF-8 the loop that writes verdicts. A message of a peer whose handler throws ended the process.

Change: RequestForwarder::Run throws nothing and turns a failure into an error (801, internal). The server answers where nothing was sent. Loops run again after a pause. Callbacks that are posted are guarded. Calls to a peer that fail at once complete after their start. TRACE with a body is refused with 400.

--- a/include/beryllane/error/error.h
+++ b/include/beryllane/error/error.h
@@ -70,6 +70,8 @@
   // Ids 700 to 799: an exchange with a peer failed.
   kPeerUnreachable = 701,
   kPeerMessageInvalid = 702,
+  // Ids 800 to 899: a fault of the program itself.
+  kInternal = 801,
 };
 
 /// An error: its number, a message that says what was received and what was
--- a/src/caller/service_handler.cc
+++ b/src/caller/service_handler.cc
@@ -1,7 +1,6 @@
 #include "src/caller/service_handler.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <optional>
 #include <utility>
 
@@ -9,6 +8,7 @@
 #include "src/caller/error_response.h"
 #include "src/caller/service_call.h"
 #include "src/caller/service_protocol.h"
+#include "src/net/spawn.h"
 #include "src/telemetry/log.h"
 
 namespace beryllane::caller {
@@ -187,9 +187,8 @@
   }
 
   void PostClaimUpdate(claim::Entry entry) {
-    net::asio::co_spawn(node_.control_loop(),
-                        node_.claims().Update(std::move(entry)),
-                        net::asio::detached);
+    net::Spawn(node_.control_loop().get_executor(), "claim-update",
+               node_.claims().Update(std::move(entry)));
   }
 
   awaitable<CallResult> Send() {
--- a/src/coordination/error.cc
+++ b/src/coordination/error.cc
@@ -61,6 +61,7 @@
     ErrorInfo{ErrorId::kSettingConflict, "setting_conflict", 500},
     ErrorInfo{ErrorId::kPeerUnreachable, "peer_unreachable", 503},
     ErrorInfo{ErrorId::kPeerMessageInvalid, "peer_message_invalid", 502},
+    ErrorInfo{ErrorId::kInternal, "internal", 500},
 };
 
 const ErrorInfo* Find(ErrorId id) {
--- a/src/exchange/engine.cc
+++ b/src/exchange/engine.cc
@@ -6,6 +6,7 @@
 #include "src/caller/completion_protocol.h"
 #include "src/caller/service_protocol.h"
 #include "src/fleet/runner_protocol.h"
+#include "src/net/spawn.h"
 
 namespace beryllane::exchange {
 namespace {
@@ -26,6 +27,29 @@
 }  // namespace
 
 awaitable<ForwardResult> RequestForwarder::Run() {
+  std::string failure;
+  try {
+    co_return co_await RunAttempts();
+  } catch (const boost::system::system_error& error) {
+    // Another branch of the caller's `operator||` has ended first.
+    if (error.code() == net::asio::error::operation_aborted) {
+      co_return ForwardResult{ForwardResult::Kind::kCallerGone, {}, {}};
+    }
+    failure = error.what();
+  } catch (const std::exception& error) {
+    failure = error.what();
+  }
+  // `operator||` takes an exception for no result, and would wait until another
+  // branch ends.
+  net::ReportTaskFailure("forward", failure);
+  co_return ForwardResult{
+      ForwardResult::Kind::kFailed,
+      {},
+      {ErrorId::kInternal, "the request cannot be forwarded",
+       may_have_run_ ? Verdict::kMayHaveRun : Verdict::kNotRun}};
+}
+
+awaitable<ForwardResult> RequestForwarder::RunAttempts() {
   Error error;
   // Whether the request ran in any attempt so far: the verdict of the attempt
   // that got furthest.
@@ -42,6 +66,7 @@
     if (attempt.result) co_return std::move(*attempt.result);
     error = std::move(attempt.error);
     verdict = Combine(verdict, error.verdict);
+    may_have_run_ = verdict != Verdict::kNotRun;
     error.verdict = verdict;
     const bool should_retry = CallProtocol(
         protocol_, [&](auto& d) { return d.ShouldRetry(error, attempts); });
@@ -70,6 +95,7 @@
   options.may_send = [this, may_send = std::move(options.may_send)] {
     return !exchange_.IsCallerGone() && (!may_send || may_send());
   };
+  may_have_run_ = true;
   auto opened =
       co_await client_.Open(target.address, std::move(request), options);
   AttemptResult attempt;
--- a/src/exchange/engine.h
+++ b/src/exchange/engine.h
@@ -102,8 +102,8 @@
                    Protocol protocol)
       : exchange_(exchange), client_(client), protocol_(protocol) {}
 
-  /// Makes attempts until one succeeds or no further attempt is allowed. @pre
-  /// called once, on the loop of `exchange` and `client`.
+  /// Makes attempts until one succeeds or no further attempt is allowed. Throws
+  /// nothing. @pre called once, on the loop of `exchange` and `client`.
   net::asio::awaitable<ForwardResult> Run();
 
  private:
@@ -114,6 +114,7 @@
     Error error;
   };
 
+  net::asio::awaitable<ForwardResult> RunAttempts();
   net::asio::awaitable<AttemptResult> Attempt(Target target);
   net::asio::awaitable<AttemptResult> Relay(net::AnswerStream& response,
                                             const Target& target);
@@ -131,6 +132,8 @@
   Protocol protocol_;
   // Error response of a target, relayed if no later attempt succeeds.
   std::optional<net::Response> failure_response_;
+  // Whether an attempt so far may have run.
+  bool may_have_run_ = false;
 };
 
 }  // namespace beryllane::exchange
--- a/src/fleet/cache_follower.cc
+++ b/src/fleet/cache_follower.cc
@@ -60,6 +60,16 @@
 }
 
 awaitable<void> CacheFollower::Follow(std::shared_ptr<Runner> runner) {
+  const std::string id = runner->entry.id;
+  try {
+    co_await ReadChanges(std::move(runner));
+  } catch (const std::exception& error) {
+    net::ReportTaskFailure("cache", error.what());
+  }
+  followed_.erase(id);
+}
+
+awaitable<void> CacheFollower::ReadChanges(std::shared_ptr<Runner> runner) {
   const std::string id = runner->entry.id;
   std::uint64_t since = 0;
   std::optional<std::int64_t> incarnation;
@@ -117,7 +127,6 @@
     changes_.Add(batch.changes.size());
     co_await net::Sleep(kCallInterval);
   }
-  followed_.erase(id);
 }
 
 void CacheFollower::NotePause(Runner& runner, const net::Response& answer) {
--- a/src/fleet/cache_follower.h
+++ b/src/fleet/cache_follower.h
@@ -31,6 +31,7 @@
 
  private:
   net::asio::awaitable<void> Follow(std::shared_ptr<Runner> runner);
+  net::asio::awaitable<void> ReadChanges(std::shared_ptr<Runner> runner);
   void NotePause(Runner& runner, const net::Response& answer);
   void Apply(Runner& runner, const platform::CacheChange& change);
 
--- a/src/fleet/fleet_frontend.cc
+++ b/src/fleet/fleet_frontend.cc
@@ -244,6 +244,17 @@
                        kRetryAfter);
     co_return;
   }
+  const bool is_trace_with_body =
+      exchange.request().method() == net::http::verb::trace &&
+      !exchange.request().body().empty();
+  if (is_trace_with_body) {
+    exchange.CloseAfter();
+    co_await SendError(exchange, "",
+                       Refusal(ErrorId::kMalformedHttp,
+                               "a TRACE request must not have a body"),
+                       kRetryAfter);
+    co_return;
+  }
   auto admitted = Admit(exchange);
   if (!admitted.ok()) {
     co_await SendError(exchange, "", admitted.error(), kRetryAfter);
--- a/src/fleet/part_quarantine.cc
+++ b/src/fleet/part_quarantine.cc
@@ -393,7 +393,7 @@
                                           int strikes) const {
   const json record{
       {"strikes", strikes}, {"part", NameOf(part)}, {"host", host_id_}};
-  return record.dump();
+  return record.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 awaitable<void> PartQuarantine::WriteVerdict(std::uint64_t part, int strikes) {
--- a/src/fleet/store_follower.cc
+++ b/src/fleet/store_follower.cc
@@ -89,9 +89,11 @@
 awaitable<void> StoreFollower::Run() {
   co_await ReadFirst();
   const auto executor = co_await net::asio::this_coro::executor;
-  net::Spawn(executor, "store-targets", FollowTargets());
-  net::Spawn(executor, "store-quarantine", FollowQuarantine());
-  co_await FollowOperator();
+  net::SpawnLoop(executor, "store-targets", [this] { return FollowTargets(); });
+  net::SpawnLoop(executor, "store-quarantine",
+                 [this] { return FollowQuarantine(); });
+  net::SpawnLoop(executor, "store-operator",
+                 [this] { return FollowOperator(); });
 }
 
 awaitable<void> StoreFollower::ReadFirst() {
--- a/src/fleet/weights_rollout.cc
+++ b/src/fleet/weights_rollout.cc
@@ -238,12 +238,31 @@
                                              std::string model,
                                              std::uint64_t version) {
   const std::string id = runner->entry.id;
+  try {
+    co_await OrderUntilInPlace(*runner, model, version);
+  } catch (const std::exception& error) {
+    net::ReportTaskFailure("update-target", error.what());
+  }
+  if (runner->VersionOf(model) >= version) {
+    telemetry::Log(Level::kInfo, telemetry::event::kWeightsInPlace,
+                   {{"target", id}, {"model", model}, {"version", version}});
+    peers_.AnnounceWeights(*runner, model, version);
+  } else {
+    backoff_until_[id] = RuntimeClock::now() + kOrderBackoff;
+  }
+  runner->switching_until = {};
+  in_progress_.erase(id);
+}
+
+awaitable<void> WeightsRollout::OrderUntilInPlace(Runner& runner,
+                                                  const std::string& model,
+                                                  std::uint64_t version) {
   const auto deadline = RuntimeClock::now() + kLoadTimeout;
   const bool needs_report =
-      !runner->order_count && MaySend(*runner, SendKind::kReport);
+      !runner.order_count && MaySend(runner, SendKind::kReport);
   auto progress = OrderProgress::kIdle;
   if (needs_report) {
-    progress = co_await ReadReport(*runner, model);
+    progress = co_await ReadReport(runner, model);
   }
   // An order whose answer was lost is sent again once the target's report shows
   // that it is not in progress. The expected order count prevents the target
@@ -251,28 +270,19 @@
   int unanswered = 0;
   while (progress != OrderProgress::kFailed &&
          unanswered < kMaxUnansweredOrders && RuntimeClock::now() < deadline &&
-         runner->VersionOf(model) < version) {
+         runner.VersionOf(model) < version) {
     const SendKind next = progress == OrderProgress::kIdle
-                              ? OrderKind(*runner, model)
+                              ? OrderKind(runner, model)
                               : SendKind::kReport;
-    if (!MaySend(*runner, next)) break;
+    if (!MaySend(runner, next)) break;
     if (progress == OrderProgress::kIdle) {
-      progress = co_await SendOrder(*runner, model, version);
+      progress = co_await SendOrder(runner, model, version);
       if (progress == OrderProgress::kUnknown) ++unanswered;
       continue;
     }
     co_await net::Sleep(kReportInterval);
-    progress = co_await ReadReport(*runner, model);
-  }
-  if (runner->VersionOf(model) >= version) {
-    telemetry::Log(Level::kInfo, telemetry::event::kWeightsInPlace,
-                   {{"target", id}, {"model", model}, {"version", version}});
-    peers_.AnnounceWeights(*runner, model, version);
-  } else {
-    backoff_until_[id] = RuntimeClock::now() + kOrderBackoff;
+    progress = co_await ReadReport(runner, model);
   }
-  runner->switching_until = {};
-  in_progress_.erase(id);
 }
 
 awaitable<WeightsRollout::OrderProgress> WeightsRollout::SendOrder(
--- a/src/fleet/weights_rollout.h
+++ b/src/fleet/weights_rollout.h
@@ -72,6 +72,11 @@
   net::asio::awaitable<void> UpdateTarget(std::shared_ptr<Runner> runner,
                                           std::string model,
                                           std::uint64_t version);
+  // Sends orders until the weights are in place or the target has to be left
+  // for now.
+  net::asio::awaitable<void> OrderUntilInPlace(Runner& runner,
+                                               const std::string& model,
+                                               std::uint64_t version);
   net::asio::awaitable<OrderProgress> SendOrder(Runner& runner,
                                                 const std::string& model,
                                                 std::uint64_t version);
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -235,7 +235,8 @@
     if (code) break;
   }
   if (code) {
-    connection_->socket.close();
+    error_code ignored;
+    connection_->socket.close(ignored);
     std::string what = "the answer broke off: " + code.message();
     if (is_out_of_time_) {
       what = RuntimeClock::now() >= deadline_
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -465,6 +465,13 @@
   constexpr std::chrono::milliseconds kMaxLinger{2000};
   const auto until = RuntimeClock::now() + kMaxLinger;
   error_code ignored;
+  if (!failure.empty() && !exchange.is_started()) {
+    exchange.CloseAfter();
+    const Error error{ErrorId::kInternal, "the request cannot be handled",
+                      Verdict::kMayHaveRun};
+    Response response = format_rejection_(error);
+    co_await exchange.Respond(std::move(response));
+  }
   session.socket.shutdown(tcp::socket::shutdown_send, ignored);
   std::size_t discarded = 0;
   while (discarded <= limits_.body_bytes && RuntimeClock::now() < until) {
--- a/src/net/spawn.cc
+++ b/src/net/spawn.cc
@@ -21,13 +21,14 @@
 // Whether the task came to its own end.
 asio::awaitable<bool> RunGuarded(const std::string& name,
                                  asio::awaitable<void> task) {
+  bool has_failed = false;
   try {
     co_await std::move(task);
-    co_return true;
   } catch (const std::exception& error) {
+    has_failed = true;
     ReportTaskFailure(name, error.what());
   }
-  co_return false;
+  co_return !has_failed;
 }
 
 asio::awaitable<void> RunOnce(std::string name, asio::awaitable<void> task) {
@@ -36,7 +37,10 @@
 
 asio::awaitable<void> RunAgain(std::string name,
                                std::function<asio::awaitable<void>()> make) {
-  while (!co_await RunGuarded(name, make())) {
+  for (;;) {
+    asio::awaitable<void> task = make();
+    const bool is_complete = co_await RunGuarded(name, std::move(task));
+    if (is_complete) co_return;
     co_await Sleep(kRestartPause);
   }
 }
@@ -55,12 +59,14 @@
                  asio::detached);
 }
 
-void CallGuarded(const char* name, const std::function<void()>& callback) {
+bool CallGuarded(const char* name, const std::function<void()>& callback) {
   try {
     callback();
+    return true;
   } catch (const std::exception& error) {
     ReportTaskFailure(name, error.what());
   }
+  return false;
 }
 
 void ReportTaskFailure(const std::string& name, const std::string& message) {
--- a/src/net/spawn.h
+++ b/src/net/spawn.h
@@ -22,10 +22,10 @@
 void SpawnLoop(const asio::any_io_executor& executor, std::string name,
                std::function<asio::awaitable<void>()> make);
 
-/// Calls `callback`; an exception that leaves it is logged and counted. For
-/// callbacks that run on a loop by themselves, where it would end the process.
-/// @pre none. Thread-safe.
-void CallGuarded(const char* name, const std::function<void()>& callback);
+/// Calls `callback`; an exception that leaves it is logged and counted, and
+/// makes the result false. For callbacks that run on a loop by themselves,
+/// where it would end the process. @pre none. Thread-safe.
+bool CallGuarded(const char* name, const std::function<void()>& callback);
 
 /// Logs and counts the failure of a task. @pre none. Thread-safe.
 void ReportTaskFailure(const std::string& name, const std::string& message);
--- a/src/platform/log_client.cc
+++ b/src/platform/log_client.cc
@@ -1,11 +1,10 @@
 #include "src/platform/log_client.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "fmt/format.h"
+#include "src/net/spawn.h"
 
 namespace beryllane::platform {
 namespace {
@@ -63,13 +62,12 @@
                                    {{"stream", name}})) {}
 
 void HttpLogStream::Append(std::string data, AppendHandler done) {
-  net::asio::co_spawn(context_, RunAppend(std::move(data), std::move(done)),
-                      net::asio::detached);
+  net::Spawn(context_.get_executor(), "append",
+             RunAppend(std::move(data), std::move(done)));
 }
 
 void HttpLogStream::Read(std::uint64_t from, ReadHandler done) {
-  net::asio::co_spawn(context_, RunRead(from, std::move(done)),
-                      net::asio::detached);
+  net::Spawn(context_.get_executor(), "read", RunRead(from, std::move(done)));
 }
 
 awaitable<void> HttpLogStream::RunAppend(std::string data, AppendHandler done) {
--- a/src/router/load_poller.cc
+++ b/src/router/load_poller.cc
@@ -1,13 +1,12 @@
 #include "src/router/load_poller.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
 
 #include "beryllane/hash/hash.h"
+#include "src/net/spawn.h"
 
 namespace beryllane::router {
 namespace {
@@ -62,7 +61,7 @@
   for (const auto& [id, target] : directory_.targets()) {
     if (target.host.role != platform::HostRole::kRunner) continue;
     if (!IsAssignedHere(id)) continue;
-    net::asio::co_spawn(executor, Poll(target), net::asio::detached);
+    net::Spawn(executor, "load", Poll(target));
   }
 }
 
--- a/src/router/node.cc
+++ b/src/router/node.cc
@@ -2,14 +2,13 @@
 
 #include <sys/resource.h>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "beryllane/invariant/invariant.h"
 #include "beryllane/placement/rendezvous.h"
+#include "src/net/spawn.h"
 #include "src/telemetry/log.h"
 
 namespace beryllane::router {
@@ -109,15 +108,14 @@
   auto listen_result = peer_server_.Listen(settings_.peer_listen);
   if (!listen_result.ok()) return listen_result;
   net::asio::io_context& loop = control_loops_.at(0);
-  using net::asio::co_spawn;
-  using net::asio::detached;
-  co_spawn(loop, config_.Run(), detached);
-  co_spawn(loop, PollHosts(), detached);
-  co_spawn(loop, gossip_.Run(), detached);
-  co_spawn(loop, load_poller_.Run(), detached);
-  co_spawn(loop, claims_.Run(), detached);
-  co_spawn(loop, RunMaintenance(), detached);
-  co_spawn(loop, tracer_.Run(client_), detached);
+  const auto executor = loop.get_executor();
+  net::Spawn(executor, "config", config_.Run());
+  net::Spawn(executor, "hosts", PollHosts());
+  net::Spawn(executor, "gossip", gossip_.Run());
+  net::Spawn(executor, "loads", load_poller_.Run());
+  net::Spawn(executor, "claims", claims_.Run());
+  net::Spawn(executor, "maintenance", RunMaintenance());
+  net::Spawn(executor, "tracer", tracer_.Run(client_));
   control_loops_.Start();
   return Done{};
 }
--- a/src/router/state_gossip.cc
+++ b/src/router/state_gossip.cc
@@ -1,10 +1,9 @@
 #include "src/router/state_gossip.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <utility>
 
+#include "src/net/spawn.h"
 #include "src/telemetry/trace.h"
 
 namespace beryllane::router {
@@ -221,8 +220,7 @@
   auto outstanding = std::make_shared<std::size_t>(0);
   for (const Peer& peer : OtherRouters()) {
     ++*outstanding;
-    net::asio::co_spawn(executor, AnnounceTo(peer.address, outstanding),
-                        net::asio::detached);
+    net::Spawn(executor, "announce", AnnounceTo(peer.address, outstanding));
   }
   constexpr milliseconds kPollInterval{10};
   const auto deadline = RuntimeClock::now() + kCallTimeout;
--- a/src/telemetry/crash_log.cc
+++ b/src/telemetry/crash_log.cc
@@ -14,8 +14,8 @@
 namespace beryllane::telemetry {
 namespace {
 
-constexpr std::array<int, 5> kFatalSignals{SIGSEGV, SIGBUS, SIGFPE, SIGILL,
-                                           SIGABRT};
+constexpr std::array<int, 6> kFatalSignals{SIGSEGV, SIGBUS,  SIGFPE,
+                                           SIGILL,  SIGABRT, SIGTRAP};
 
 void WriteText(std::string_view text) {
   // Nothing is left to do where this fails.
--- a/src/wire/peer_bus.cc
+++ b/src/wire/peer_bus.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "fmt/format.h"
+#include "src/net/spawn.h"
 
 namespace beryllane::wire {
 namespace {
@@ -49,7 +50,9 @@
       impl->received.Add(body.size());
       net::asio::post(impl->loop, [impl, alive = std::weak_ptr(impl->alive),
                                    body = std::move(body)]() mutable {
-        if (!alive.expired()) impl->handler(std::move(body));
+        if (alive.expired()) return;
+        net::CallGuarded("peer-message",
+                         [&] { impl->handler(std::move(body)); });
       });
     }
     nng_recv_aio(impl->socket, impl->aio);
--- a/src/wire/peer_link.cc
+++ b/src/wire/peer_link.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "fmt/format.h"
+#include "src/net/spawn.h"
 
 namespace beryllane::wire {
 namespace {
@@ -70,8 +71,13 @@
     nng_ctx_recv(context, aio);
   }
   void Send(const std::string& body) {
+    nng_msg* message = MakeMessage(body);
+    if (message == nullptr) {
+      Receive();
+      return;
+    }
     phase = Phase::kSending;
-    nng_aio_set_msg(aio, MakeMessage(body));
+    nng_aio_set_msg(aio, message);
     nng_ctx_send(context, aio);
   }
 };
@@ -101,12 +107,17 @@
     net::asio::post(loop, [this, slot, still_alive,
                            request = std::move(request)]() mutable {
       if (still_alive.expired()) return;
-      handler(std::move(request),
-              [this, slot, still_alive](const std::string& reply) {
-                if (still_alive.expired()) return;
-                bytes.sent.Add(reply.size());
-                slot->Send(reply);
-              });
+      const ReplyFunction reply = [this, slot,
+                                   still_alive](const std::string& message) {
+        if (still_alive.expired()) return;
+        bytes.sent.Add(message.size());
+        slot->Send(message);
+      };
+      const bool is_handled = net::CallGuarded(
+          "peer-request", [&] { handler(std::move(request), reply); });
+      const bool is_replied = slot->phase != ReplySlot::Phase::kHandling;
+      // A slot without a reply would take no further request.
+      if (!is_handled && !is_replied) reply("");
     });
   }
 
@@ -222,9 +233,17 @@
   void Start(const std::string& address, const std::string& message,
              std::chrono::milliseconds timeout,
              std::function<void(Result<std::string>)> done) {
+  // A call must not complete before the coroutine that waits for it is
+  // suspended.
+  void Fail(Error error, std::function<void(Result<std::string>)> done) {
+    net::asio::post(loop, [error = std::move(error), done = std::move(done)] {
+      done(error);
+    });
+  }
+
     auto socket = SocketFor(address);
     if (!socket.ok()) {
-      done(socket.error());
+      Fail(socket.error(), std::move(done));
       return;
     }
     auto call = std::make_unique<PendingCall>();
@@ -234,13 +253,16 @@
     if (code == 0) {
       code = nng_aio_alloc(&call->aio, PendingCall::OnAio, call.get());
     }
-    if (code != 0) {
-      done(PeerError(address, code));
+    nng_msg* encoded = code == 0 ? MakeMessage(message) : nullptr;
+    if (encoded == nullptr) {
+      nng_aio_free(call->aio);
+      nng_ctx_close(call->context);
+      Fail(PeerError(address, code == 0 ? NNG_ENOMEM : code), std::move(done));
       return;
     }
     call->done = std::move(done);
     nng_aio_set_timeout(call->aio, static_cast<nng_duration>(timeout.count()));
-    nng_aio_set_msg(call->aio, MakeMessage(message));
+    nng_aio_set_msg(call->aio, encoded);
     bytes.sent.Add(message.size());
     // The call deletes itself when it completes.
     PendingCall* running = call.release();
--- a/tests/src/unit-part_quarantine.cpp
+++ b/tests/src/unit-part_quarantine.cpp
@@ -206,6 +206,13 @@
   }
 }
 
+// The id of a part that is no UTF-8 ended the loop that writes verdicts.
+TEST_F(PartQuarantineTest, APartWhoseIdIsNoTextIsWrittenToTheStore) {
+  const std::string part = "\xff\xfe";
+  Convict(part);
+  EXPECT_FALSE(IsAdmitted(*routers_[1], part));
+}
+
 TEST_F(PartQuarantineTest, AnUnreadableVerdictIsIgnored) {
   for (const char* value :
        {"x", "{}", R"({"strikes":"1"})", R"({"strikes":0})"}) {
--- a/tests/src/unit-store_era.cpp
+++ b/tests/src/unit-store_era.cpp
@@ -98,5 +98,17 @@
   EXPECT_EQ(restores_, 1);
 }
 
+// A field of another type ended the loop that follows the store.
+TEST_F(StoreEraTest, AnAnswerWithFieldsOfOtherTypesIsAnError) {
+  script_ = {{"7", R"({"items":[{"key":1,"value":2,"offset":"x"}],"end":"2"})"},
+             {"7", R"({"offset":"5","end":{}})"}};
+  const auto read = Await(store_.ReadNewest("t"));
+  ASSERT_TRUE(read.has_value());
+  EXPECT_FALSE(read->ok());
+  const auto appended = Await(store_.Append("t", "k", "v", std::nullopt));
+  ASSERT_TRUE(appended.has_value());
+  EXPECT_FALSE(appended->ok());
+}
+
 }  // namespace
 }  // namespace beryllane::platform
