Start in spite of early signals, held addresses and unfinished settings

Operators saw: a process that was ended by SIGHUP or SIGTERM in its first milliseconds, one that ended with status 2 because the process before it still held an address, and one that ended over a settings file that was being written. Where the address for peers was held, the router ran without peers for its life.

Cause: the start treated as final what only needs time. Signals had their default action until their handlers were set; a port was tried once.

Change: the signals are held back from the first line of main until their handlers are set. Ports are tried for 30 s, and the address for peers for ever, with one line of log (waiting-to-start); a stop ends the wait. The settings file is read again for 3 s.

What remains: a signal that arrives before main, while libraries are being loaded.

--- a/apps/beryllaned.cc
+++ b/apps/beryllaned.cc
@@ -4,15 +4,18 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <chrono>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "platform/settings.h"
 #include "src/caller/frontend.h"
 #include "src/fleet/fleet_node.h"
+#include "src/net/signals.h"
 #include "src/router/node.h"
 #include "src/router/settings.h"
 #include "src/settings/flag_source.h"
@@ -158,6 +161,7 @@
   net::asio::signal_set signals(node.request_loops().at(0), SIGINT, SIGTERM);
   signals.async_wait(
       [&stopper](const net::error_code&, int) { stopper.Request(); });
+  net::ReleaseSignals();
   auto listening = front.Start();
   if (listening.ok()) listening = node.Start();
   if (!listening.ok()) {
@@ -183,6 +187,20 @@
   return settings::kBadSettingsExit;
 }
 
+// The file may still be being written while the process starts.
+Result<platform::Settings> WaitForSettings(const std::string& path) {
+  constexpr std::chrono::milliseconds kPatience{3000};
+  constexpr std::chrono::milliseconds kInterval{100};
+  const auto until = RuntimeClock::now() + kPatience;
+  auto read = platform::ReadSettings(path);
+  if (!read.ok()) PrintFault(read.error());
+  while (!read.ok() && RuntimeClock::now() < until) {
+    std::this_thread::sleep_for(kInterval);
+    read = platform::ReadSettings(path);
+  }
+  return read;
+}
+
 int ServePlatform() {
   std::string path = absl::GetFlag(FLAGS_platform_settings);
   const char* variable = std::getenv(platform::kSettingsVariable);
@@ -193,7 +211,7 @@
          std::string(platform::kSettingsVariable) + " names no settings file",
          Verdict::kNotRun});
   }
-  auto read = platform::ReadSettings(path);
+  auto read = WaitForSettings(path);
   if (!read.ok()) return PrintFault(read.error());
   if (!telemetry::InitLog(absl::GetFlag(FLAGS_log_level), "beryllaned",
                           read.value().host_id, /*is_batched=*/true)) {
@@ -204,13 +222,13 @@
       static_cast<std::uint16_t>(absl::GetFlag(FLAGS_metrics_port)));
   auto ran = node.Run();
   telemetry::FlushLog();
-  if (!ran.ok()) return PrintFault(ran.error());
   // Coroutines that are still suspended refer to parts of the node that would
   // be destroyed before them. No destructor has work left to do here.
-  std::_Exit(EXIT_SUCCESS);
+  std::_Exit(ran.ok() ? EXIT_SUCCESS : PrintFault(ran.error()));
 }
 
 int Main(int argc, char** argv) {
+  net::HoldSignals();
   telemetry::InstallCrashLog();
   const auto line = settings::ReadCommandLine(argc, argv, FlagNames());
   if (line.wants_help) {
--- a/src/fleet/fleet_node.cc
+++ b/src/fleet/fleet_node.cc
@@ -1,12 +1,14 @@
 #include "src/fleet/fleet_node.h"
 
 #include <algorithm>
-#include <boost/asio/signal_set.hpp>
-#include <csignal>
+#include <functional>
 #include <utility>
+#include <vector>
 
 #include "platform/config_codec.h"
 #include "src/caller/error_response.h"
+#include "src/net/descriptors.h"
+#include "src/net/signals.h"
 #include "src/net/spawn.h"
 #include "src/telemetry/log.h"
 
@@ -48,6 +50,13 @@
 // Share of the process's memory that bodies may take up.
 constexpr std::size_t kHeldShare = 4;
 
+// Descriptors that a process uses where its settings state no number.
+constexpr std::size_t kDefaultDescriptors = 16384;
+// A process that still drains at the same addresses has ended by then, and an
+// interface that is just being set up is there.
+constexpr milliseconds kListenPatience{30000};
+constexpr milliseconds kListenInterval{100};
+
 net::ServerLimits CallerServerLimits(const platform::Settings& settings) {
   net::ServerLimits limits;
   if (settings.memory_bytes > 0) {
@@ -244,39 +253,78 @@
 }
 
 Result<Done> FleetNode::Run() {
-  auto listening = caller_server_.Listen(settings_.caller_listen);
-  if (!listening.ok()) return listening.error();
-  listening = readiness_server_.Listen(settings_.ready_listen);
-  if (!listening.ok()) return listening.error();
-  if (metrics_port_ != 0) {
-    listening = metrics_server_.Listen({settings_.ip, metrics_port_});
-    if (!listening.ok()) return listening.error();
+  net::ReleaseSignals();
+  const auto executor = pool_.at(0).get_executor();
+  net::Spawn(executor, "stop", AwaitStop());
+  net::Spawn(executor, "reload", AwaitReload());
+  net::Spawn(executor, "start", Start());
+  pool_.at(0).run();
+  telemetry::Log(Level::kInfo, telemetry::event::kStopped,
+                 {{"cut", caller_server_.running()},
+                  {"cut_unread", caller_server_.reading()},
+                  {"read", caller_server_.counts().read.load()},
+                  {"answered", caller_server_.counts().answered.load()}});
+  return start_result_;
+}
+
+awaitable<void> FleetNode::Start() {
+  start_result_ = co_await Listen();
+  if (!start_result_.ok()) {
+    pool_.at(0).stop();
+    co_return;
   }
-  auto relaying = relay_server_.Listen(IdentityOf(settings_).relay_address);
-  if (!relaying.ok()) return relaying;
+  is_started_ = true;
   telemetry::Log(Level::kInfo, telemetry::event::kStarted,
                  {{"listen", net::ToString(settings_.caller_listen)},
                   {"store", net::ToString(settings_.store_address)},
                   {"availability_zone", settings_.availability_zone},
                   {"region", settings_.region}});
-  net::asio::io_context& loop = pool_.at(0);
-  const auto executor = loop.get_executor();
-  net::Spawn(executor, "loop-lag", loop_lag_.Run());
+  const auto executor = pool_.at(0).get_executor();
+  net::SpawnLoop(executor, "loop-lag", [this] { return loop_lag_.Run(); });
   net::Spawn(executor, "store", follower_.Run());
   net::Spawn(executor, "peers", peers_.Run());
-  net::Spawn(executor, "quarantine", quarantine_.Run());
-  net::Spawn(executor, "caches", cache_follower_.Run());
-  net::Spawn(executor, "rollout", rollout_.Run());
-  net::Spawn(executor, "readiness", WatchReadiness());
-  net::Spawn(executor, "stop", AwaitStop());
-  net::Spawn(executor, "reload", AwaitReload());
-  loop.run();
-  telemetry::Log(Level::kInfo, telemetry::event::kStopped,
-                 {{"cut", caller_server_.running()},
-                  {"cut_unread", caller_server_.reading()},
-                  {"read", caller_server_.counts().read.load()},
-                  {"answered", caller_server_.counts().answered.load()}});
-  return Done{};
+  net::SpawnLoop(executor, "quarantine", [this] { return quarantine_.Run(); });
+  net::SpawnLoop(executor, "caches", [this] { return cache_follower_.Run(); });
+  net::SpawnLoop(executor, "rollout", [this] { return rollout_.Run(); });
+  net::SpawnLoop(executor, "readiness", [this] { return WatchReadiness(); });
+}
+
+awaitable<Result<Done>> FleetNode::Listen() {
+  const auto done = [](const Result<net::Address>& listening) -> Result<Done> {
+    if (!listening.ok()) return listening.error();
+    return Done{};
+  };
+  std::vector<std::function<Result<Done>()>> ports;
+  ports.emplace_back([this] {
+    return relay_server_.Listen(IdentityOf(settings_).relay_address);
+  });
+  if (metrics_port_ != 0) {
+    ports.emplace_back([this, done] {
+      return done(metrics_server_.Listen({settings_.ip, metrics_port_}));
+    });
+  }
+  // Callers come last, as they would wait for an answer until all ports are
+  // open.
+  ports.emplace_back([this, done] {
+    return done(readiness_server_.Listen(settings_.ready_listen));
+  });
+  ports.emplace_back([this, done] {
+    return done(caller_server_.Listen(settings_.caller_listen));
+  });
+  const auto until = RuntimeClock::now() + kListenPatience;
+  for (const auto& open : ports) {
+    Result<Done> opened = open();
+    if (!opened.ok()) {
+      telemetry::Log(Level::kWarning, telemetry::event::kWaitingToStart,
+                     {{"message", opened.error().message}});
+    }
+    while (!opened.ok() && RuntimeClock::now() < until) {
+      co_await net::Sleep(kListenInterval);
+      opened = open();
+    }
+    if (!opened.ok()) co_return opened;
+  }
+  co_return Done{};
 }
 
 awaitable<void> FleetNode::AnswerReady(net::Exchange& exchange) {
@@ -312,9 +360,11 @@
 }
 
 awaitable<void> FleetNode::AwaitStop() {
-  net::asio::signal_set signals(pool_.at(0), SIGINT, SIGTERM);
-  co_await signals.async_wait(net::kAsTuple);
-  co_await Drain();
+  const auto [code, signal] = co_await stop_signals_.async_wait(net::kAsTuple);
+  telemetry::Log(Level::kInfo, telemetry::event::kSignalled,
+                 {{"signal", signal}, {"message", code ? code.message() : ""}});
+  // No caller has connected before the start is complete.
+  if (is_started_) co_await Drain();
   pool_.at(0).stop();
 }
 
@@ -343,9 +393,8 @@
 }
 
 awaitable<void> FleetNode::AwaitReload() {
-  net::asio::signal_set signals(pool_.at(0), SIGHUP);
   for (;;) {
-    co_await signals.async_wait(net::kAsTuple);
+    co_await reload_signals_.async_wait(net::kAsTuple);
     auto read = platform::ReadSettings(settings_path_);
     if (!read.ok()) {
       telemetry::Log(Level::kWarning, telemetry::event::kReloaded,
--- a/src/fleet/fleet_node.h
+++ b/src/fleet/fleet_node.h
@@ -3,6 +3,8 @@
 #ifndef BERYLLANE_SRC_FLEET_FLEET_NODE_H_
 #define BERYLLANE_SRC_FLEET_FLEET_NODE_H_
 
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
 #include <string>
 
 #include "platform/settings.h"
@@ -34,6 +36,10 @@
   Result<Done> Run();
 
  private:
+  // Opens the ports and starts the loops.
+  net::asio::awaitable<void> Start();
+  // Opens the ports; waits for a time for those that cannot be opened yet.
+  net::asio::awaitable<Result<Done>> Listen();
   net::asio::awaitable<void> AnswerReady(net::Exchange& exchange);
   net::asio::awaitable<void> AnswerMetrics(net::Exchange& exchange);
   net::asio::awaitable<void> WatchReadiness();
@@ -58,6 +64,10 @@
   net::LoopLag loop_lag_{metrics_.GetHistogram(
       "beryllane_loop_lag_seconds", "How late a timer of the loop ran")};
   net::ContextPool pool_{1};
+  net::asio::signal_set stop_signals_{pool_.at(0), SIGINT, SIGTERM};
+  net::asio::signal_set reload_signals_{pool_.at(0), SIGHUP};
+  Result<Done> start_result_ = Done{};
+  bool is_started_ = false;
   net::HttpClient client_;
   // Separate from `client_`, so that long polls of the store do not wait for
   // connections of requests.
--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -32,6 +32,7 @@
 // hint before then, so that requests for the same parts go to the same runner.
 constexpr milliseconds kPartInterval{20};
 constexpr milliseconds kRegisterBackoff{500};
+constexpr milliseconds kListenBackoff{200};
 constexpr milliseconds kMaxRegisterDelay{1000};
 // Interval of reports of limits; several fit into their lifetime.
 constexpr milliseconds kLimitInterval{400};
@@ -81,13 +82,30 @@
   if (!listening.ok()) {
     telemetry::Log(Level::kError, telemetry::event::kPeersUnavailable,
                    {{"message", listening.error().message}});
-    co_return;
   }
-  while (!co_await Register()) {
-    co_await net::Sleep(kRegisterBackoff);
+  while (!listening.ok()) {
+    co_await net::Sleep(kListenBackoff);
+    listening = bus_.Listen(self_.bus_address);
+  }
+  const auto executor = co_await net::asio::this_coro::executor;
+  net::SpawnLoop(executor, "registration", [this] { return Registration(); });
+  net::SpawnLoop(executor, "hints", [this] { return SendHints(); });
+}
+
+awaitable<void> Peers::Registration() {
+  while (!is_registered()) {
+    const bool is_done = co_await Register();
+    if (!is_done) {
+      co_await net::Sleep(kRegisterBackoff);
+    }
+  }
+  co_await RegisterAfterRestores();
+}
+
+awaitable<void> Peers::SendHints() {
+  while (!is_registered()) {
+    co_await net::Sleep(kPartInterval);
   }
-  net::Spawn(co_await net::asio::this_coro::executor, "registration",
-             RegisterAfterRestores());
   for (;;) {
     // Scaling the intervals with the number of routers keeps the rate at each
     // receiver constant.
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -145,6 +145,9 @@
     std::uint32_t tokens;
   };
 
+  // Registers this router, also after each return of the store from a copy.
+  net::asio::awaitable<void> Registration();
+  net::asio::awaitable<void> SendHints();
   // Registers this router and connects to those that registered before it.
   net::asio::awaitable<bool> Register();
   // The registrations up to that of this router, at `own_offset`. May name a
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -286,6 +286,7 @@
   CloseAfterResponses();
   asio::post(pool_.at(0), [this] {
     error_code ignored;
+    acceptor_.reset();
     if (acceptor_) acceptor_->close(ignored);
   });
 }
--- a/src/wire/peer_bus.cc
+++ b/src/wire/peer_bus.cc
@@ -84,7 +84,6 @@
 Result<Done> PeerBus::Listen(const std::string& address) {
   int code = nng_bus0_open(&impl_->socket);
   if (code != 0) return BusError(address, code);
-  impl_->is_open = true;
   nng_socket_set_size(impl_->socket, NNG_OPT_RECVMAXSZ, kMaxMessageBytes);
   nng_socket_set_int(impl_->socket, NNG_OPT_SENDBUF, kMaxQueuedMessages);
   nng_socket_set_int(impl_->socket, NNG_OPT_RECVBUF, kMaxQueuedMessages);
@@ -92,9 +91,14 @@
   nng_socket_set_ms(impl_->socket, NNG_OPT_RECONNMAXT, kReconnectMaxMs);
   nng_socket_set_bool(impl_->socket, NNG_OPT_TCP_KEEPALIVE, true);
   code = nng_listen(impl_->socket, ("tcp://" + address).c_str(), nullptr, 0);
-  if (code != 0) return BusError(address, code);
-  code = nng_aio_alloc(&impl_->aio, Impl::OnReceive, impl_.get());
-  if (code != 0) return BusError(address, code);
+  if (code == 0) {
+    code = nng_aio_alloc(&impl_->aio, Impl::OnReceive, impl_.get());
+  }
+  if (code != 0) {
+    nng_close(impl_->socket);
+    return BusError(address, code);
+  }
+  impl_->is_open = true;
   nng_recv_aio(impl_->socket, impl_->aio);
   return Done{};
 }
--- a/src/wire/peer_link.cc
+++ b/src/wire/peer_link.cc
@@ -146,10 +146,13 @@
 Result<Done> PeerServer::Listen(const std::string& address) {
   int code = nng_rep0_open(&impl_->socket);
   if (code != 0) return PeerError(address, code);
-  impl_->is_open = true;
   nng_socket_set_size(impl_->socket, NNG_OPT_RECVMAXSZ, kMaxMessageBytes);
   code = nng_listen(impl_->socket, ("tcp://" + address).c_str(), nullptr, 0);
-  if (code != 0) return PeerError(address, code);
+  if (code != 0) {
+    nng_close(impl_->socket);
+    return PeerError(address, code);
+  }
+  impl_->is_open = true;
   for (int i = 0; i < kMaxConcurrentRequests; ++i) {
     auto slot = std::make_unique<ReplySlot>();
     slot->on_done = [impl = impl_.get()](ReplySlot* s) { impl->OnDone(s); };
@@ -230,9 +233,6 @@
     return socket;
   }
 
-  void Start(const std::string& address, const std::string& message,
-             std::chrono::milliseconds timeout,
-             std::function<void(Result<std::string>)> done) {
   // A call must not complete before the coroutine that waits for it is
   // suspended.
   void Fail(Error error, std::function<void(Result<std::string>)> done) {
@@ -241,6 +241,9 @@
     });
   }
 
+  void Start(const std::string& address, const std::string& message,
+             std::chrono::milliseconds timeout,
+             std::function<void(Result<std::string>)> done) {
     auto socket = SocketFor(address);
     if (!socket.ok()) {
       Fail(socket.error(), std::move(done));
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -184,16 +184,27 @@
 
 void PlatformFleet::StartRouter(int i) {
   WriteSettings(i, SettingsOf(i));
+  LaunchRouter(i);
+}
+
+void PlatformFleet::LaunchRouter(int i, std::vector<std::string> wrapper) {
+  std::vector<std::string> command = std::move(wrapper);
+  command.insert(
+      command.end(),
+      {BERYLLANE_ROUTER, "--platform", "--platform_settings", SettingsPath(i),
+       "--metrics_port", std::to_string(metrics_ports_[i].port)});
+  const std::string program = command.front();
+  command.erase(command.begin());
   routers_[i] =
-      Process(BERYLLANE_ROUTER,
-              {"--platform", "--platform_settings",
-               fmt::format("{}/router-{}.toml", directory_, i),
-               "--metrics_port", std::to_string(metrics_ports_[i].port)},
-              fmt::format("{}/router-{}.log", directory_, i));
+      Process(program, command, fmt::format("{}/router-{}.log", directory_, i));
+}
+
+std::string PlatformFleet::SettingsPath(int i) const {
+  return fmt::format("{}/router-{}.toml", directory_, i);
 }
 
 void PlatformFleet::WriteSettings(int i, const std::string& text) const {
-  std::ofstream(fmt::format("{}/router-{}.toml", directory_, i)) << text;
+  std::ofstream(SettingsPath(i)) << text;
 }
 
 bool PlatformFleet::WaitReady(int i) const {
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -80,6 +80,9 @@
   double Metric(int router, const std::string& prefix) const;
   /// Starts a router, again if it was ended. @pre none.
   void StartRouter(int i);
+  /// The same without writing its settings file, and through the program and
+  /// arguments of `wrapper`, if any. @pre none.
+  void LaunchRouter(int i, std::vector<std::string> wrapper = {});
   /// Starts a further model runner; its index. @pre none.
   int AddRunner();
   /// Starts a model runner again under its id. @pre it was ended.
@@ -97,6 +100,12 @@
   Process& desk(int i) { return desks_[i]; }
   Process& store() { return store_; }
   const net::Address& router_address(int i) const { return router_ports_[i]; }
+  /// Where a router answers readiness checks. @pre none.
+  const net::Address& ready_address(int i) const { return ready_ports_[i]; }
+  /// Where a router listens to others; its relay has the next port. @pre none.
+  const net::Address& peer_address(int i) const { return peer_ports_[i]; }
+  /// A router's settings file. @pre none.
+  std::string SettingsPath(int i) const;
   /// Where a model runner listens. @pre `i` < kRunners.
   const net::Address& runner_address(int i) const { return runner_ports_[i]; }
   /// What a router logged. @pre none.
