Keep descriptors for targets, the store and new callers

Callers saw: with 400 idle connections and 150 descriptors, 503 to each request on a connection that had been accepted, and no answer on a new one.

Cause: limits.maxFds was read nowhere; up to 8192 callers were accepted on a limit that targets, the store and other routers share. Idle connections to targets that are not called again stayed open for ever, up to 64 for each address. A lack of descriptors counted as a failure of the target.

Change: the soft limit is raised to the stated number. Two thirds of what is left after a reserve are for callers. Beyond that a new connection takes the place of the one that has been idle longest; if none is idle it is refused with 503 and a reason. Idle connections to targets are closed when their time has passed. An own shortage is answered with 503, not run, and blames no target.

--- a/src/fleet/fleet_node.cc
+++ b/src/fleet/fleet_node.cc
@@ -59,6 +59,9 @@
 
 net::ServerLimits CallerServerLimits(const platform::Settings& settings) {
   net::ServerLimits limits;
+  const std::size_t stated = settings.max_descriptors;
+  limits.max_connections = net::CallerConnections(
+      net::RaiseDescriptorLimit(stated > 0 ? stated : kDefaultDescriptors));
   if (settings.memory_bytes > 0) {
     limits.held_bytes = settings.memory_bytes / kHeldShare;
   }
@@ -217,6 +220,16 @@
   metrics_.AddCallbackGauge(
       "beryllane_caller_connections", "Open connections of callers",
       [this] { return static_cast<double>(caller_server_.connections()); });
+  const net::ConnectionCounts& without_room =
+      caller_server_.connection_counts();
+  add("beryllane_caller_connections_closed_idle_total",
+      "Idle connections that were closed to make room for another",
+      without_room.closed_idle);
+  add("beryllane_caller_connections_refused_total",
+      "Connections that were refused for lack of room", without_room.refused);
+  metrics_.AddCallbackGauge(
+      "beryllane_target_connections_idle", "Idle connections to targets",
+      [this] { return static_cast<double>(client_.idle_connections()); });
   metrics_.AddCallbackGauge(
       "beryllane_task_failures_total", "Tasks that an exception ended",
       [] { return static_cast<double>(net::TaskFailures()); });
@@ -355,6 +368,8 @@
     was_ready = is_ready;
     UpdateRetryOptions();
     telemetry::FlushLog();
+    client_.CloseExpired();
+    store_http_client_.CloseExpired();
     co_await net::Sleep(kPollInterval);
   }
 }
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <charconv>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
@@ -36,6 +37,14 @@
 // Limit on an answer that `Call` holds in memory, and on one that is skipped.
 constexpr std::size_t kMaxCallBytes = 8 * 1024 * 1024;
 
+// Whether this host lacks what a connection needs, whatever its target.
+bool IsOwnShortage(const error_code& code) {
+  namespace errc = boost::system::errc;
+  return code == errc::too_many_files_open ||
+         code == errc::too_many_files_open_in_system ||
+         code == errc::no_buffer_space || code == errc::not_enough_memory;
+}
+
 std::int64_t Millis(nanoseconds duration) {
   return std::chrono::duration_cast<milliseconds>(duration).count();
 }
@@ -276,7 +285,9 @@
   connection->watchdog.Disarm();
   if (connect_code) {
     co_return MakeError(
-        ErrorId::kTargetUnreachable, address,
+        IsOwnShortage(connect_code) ? ErrorId::kOverloaded
+                                    : ErrorId::kTargetUnreachable,
+        address,
         connection->watchdog.has_expired()
             ? fmt::format("no connection within {} ms", Millis(timeout))
             : connect_code.message(),
@@ -302,6 +313,23 @@
 
 void HttpClient::PutIdle(std::shared_ptr<Connection> connection) {
   auto& idle = idle_[connection->address];
+void HttpClient::CloseExpired() {
+  const auto now = RuntimeClock::now();
+  for (auto it = idle_.begin(); it != idle_.end();) {
+    auto& connections = it->second;
+    std::erase_if(connections, [now](const auto& connection) {
+      return now >= connection->idle_until;
+    });
+    it = connections.empty() ? idle_.erase(it) : std::next(it);
+  }
+}
+
+std::size_t HttpClient::idle_connections() const {
+  std::size_t count = 0;
+  for (const auto& [address, connections] : idle_) count += connections.size();
+  return count;
+}
+
   idle.push_back(std::move(connection));
   if (idle.size() > kMaxIdle) idle.pop_front();
 }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -148,6 +148,12 @@
       Address address, Request request, CallOptions options);
   /// Closes the idle connections to an address. @pre as for `Call`.
   void CloseIdle(const Address& address);
+  /// Closes the idle connections whose time has passed. To be called now and
+  /// then, as those to an address that is not called again would stay open.
+  /// @pre as for `Call`.
+  void CloseExpired();
+  /// Idle connections to all addresses. @pre as for `Call`.
+  std::size_t idle_connections() const;
 
  private:
   friend class AnswerStream;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -76,9 +76,10 @@
 }
 
 // Raises `count` until the result is released.
-std::shared_ptr<void> CountWhileHeld(std::atomic<std::int64_t>& count) {
-  count.fetch_add(1);
-  return {nullptr, [&count](void*) { count.fetch_sub(1); }};
+std::shared_ptr<void> CountWhileHeld(
+    std::shared_ptr<std::atomic<std::int64_t>> count) {
+  count->fetch_add(1);
+  return {nullptr, [count = std::move(count)](void*) { count->fetch_sub(1); }};
 }
 
 asio::awaitable<IoResult> ReadSome(tcp::socket& socket,
@@ -242,10 +243,18 @@
   Shard& shard;
   beast::flat_buffer buffer;
   Watchdog watchdog{socket};
+  void EnterIdle() { idle_place = shard.idle.insert(shard.idle.end(), this); }
+  void LeaveIdle() {
+    if (idle_place) shard.idle.erase(*idle_place);
+    idle_place.reset();
+  }
+
   // Requests served so far. A new connection is served once even while the
   // server closes, because its peer cannot know.
   int served = 0;
 };
+  // Its place among the idle connections, if it is one of them.
+  std::optional<std::list<Session*>::iterator> idle_place;
 
 HttpServer::HttpServer(ContextPool& pool, ServerLimits limits, Handler handler,
                        RejectionFormatter format_rejection)
@@ -277,6 +286,7 @@
                  fmt::format("cannot listen on {}: {}", ToString(address),
                              code.message()),
                  Verdict::kNotRun};
+    acceptor_.reset();
   }
   Spawn(pool_.at(0).get_executor(), "accept", AcceptLoop());
   return Address{address.ip, acceptor_->local_endpoint().port()};
@@ -286,8 +296,7 @@
   CloseAfterResponses();
   asio::post(pool_.at(0), [this] {
     error_code ignored;
-    acceptor_.reset();
-    if (acceptor_) acceptor_->close(ignored);
+    acceptor_->close(ignored);
   });
 }
 
@@ -334,8 +343,12 @@
 }
 
 void HttpServer::Start(tcp::socket socket, Shard& shard) {
-  if (connections_.load() >=
-      static_cast<std::int64_t>(limits_.max_connections)) {
+  // Share of the connections that may be open in addition, to be refused.
+  constexpr std::size_t kRefusedShare = 8;
+  const std::size_t most =
+      limits_.max_connections + limits_.max_connections / kRefusedShare + 1;
+  if (connections_.load() >= static_cast<std::int64_t>(most)) {
+    connection_counts_.refused.fetch_add(1);
     return;  // The socket closes; a balancer tries another host.
   }
   // Counted here, as the connection may start on another loop.
@@ -349,23 +362,43 @@
   SetStreamOptions(socket);
   Session session(std::move(socket), shard, limits_.head_bytes);
   try {
-    while (co_await ServeOne(session)) {
+    if (is_full && !CloseLongestIdle(shard)) {
+      connection_counts_.refused.fetch_add(1);
+      Error error{ErrorId::kOverloaded, "all connections are in use",
+                  Verdict::kNotRun};
+      co_await Reject(session, std::move(error));
+    } else {
+      while (co_await ServeOne(session)) {
+      }
     }
   } catch (const std::exception& error) {
     ReportTaskFailure("connection", error.what());
   }
   session.socket.shutdown(tcp::socket::shutdown_both, ignored);
+  const bool is_full =
+      connections_.load() > static_cast<std::int64_t>(limits_.max_connections);
   connections_.fetch_sub(1);
 }
 
 asio::awaitable<bool> HttpServer::WaitForRequest(Session& session) {
   if (session.buffer.size() > 0) co_return true;
+    session.LeaveIdle();
   if (is_closing_.load() && session.served > 0) co_return false;
-  session.shard.idle.insert(&session);
+  session.EnterIdle();
   session.watchdog.Arm(limits_.idle_timeout);
   const auto [code, bytes] = co_await ReadSome(session.socket, session.buffer);
   session.watchdog.Disarm();
-  session.shard.idle.erase(&session);
+bool HttpServer::CloseLongestIdle(Shard& shard) {
+  if (shard.idle.empty()) return false;
+  Session* session = shard.idle.front();
+  session->LeaveIdle();
+  error_code ignored;
+  session->socket.cancel(ignored);
+  connection_counts_.closed_idle.fetch_add(1);
+  return true;
+}
+
+  session.LeaveIdle();
   co_return !code;
 }
 
@@ -432,6 +465,13 @@
 void HttpServer::CountEnd(const Exchange& exchange,
                           const std::string& failure) {
   if (exchange.is_finished()) {
+  if (!failure.empty() && !exchange.is_started()) {
+    exchange.CloseAfter();
+    const Error error{ErrorId::kInternal, "the request cannot be handled",
+                      Verdict::kMayHaveRun};
+    Response response = format_rejection_(error);
+    co_await exchange.Respond(std::move(response));
+  }
     counts_.answered.fetch_add(1);
   } else if (exchange.IsCallerGone()) {
     counts_.caller_gone.fetch_add(1);
@@ -466,13 +506,6 @@
   constexpr std::chrono::milliseconds kMaxLinger{2000};
   const auto until = RuntimeClock::now() + kMaxLinger;
   error_code ignored;
-  if (!failure.empty() && !exchange.is_started()) {
-    exchange.CloseAfter();
-    const Error error{ErrorId::kInternal, "the request cannot be handled",
-                      Verdict::kMayHaveRun};
-    Response response = format_rejection_(error);
-    co_await exchange.Respond(std::move(response));
-  }
   session.socket.shutdown(tcp::socket::shutdown_send, ignored);
   std::size_t discarded = 0;
   while (discarded <= limits_.body_bytes && RuntimeClock::now() < until) {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -7,11 +7,11 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <chrono>
 #include <functional>
+#include <list>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <unordered_set>
 #include <vector>
 
 #include "beryllane/error/error.h"
@@ -30,6 +30,8 @@
   std::chrono::milliseconds body_timeout{15000};
   std::chrono::milliseconds idle_timeout{60000};
   std::chrono::milliseconds write_timeout{15000};
+  /// With more, a new connection takes the place of the one that has been idle
+  /// longest, or is refused if none is idle.
   std::size_t max_connections = 8192;
   /// Memory for the bodies of all exchanges together. A request that finds no
   /// room is refused before its body is read.
@@ -110,6 +112,7 @@
   // What was sent of the request to a target is not held any more when the
   // answer arrives.
   std::size_t request_bytes_ = request_.body().size();
+  std::size_t sent_bytes_ = 0;
   RuntimeClock::time_point started_ = RuntimeClock::now();
   bool is_started_ = false;
   bool is_finished_ = false;
@@ -127,6 +130,14 @@
   std::atomic<std::uint64_t> cut{0};
 };
 
+/// What became of connections for which there was no room. Thread-safe.
+struct ConnectionCounts {
+  /// Idle ones that were closed for a new one.
+  std::atomic<std::uint64_t> closed_idle{0};
+  /// New ones that were refused.
+  std::atomic<std::uint64_t> refused{0};
+};
+
 /// Answers one request.
 using Handler = std::function<asio::awaitable<void>(Exchange&)>;
 
@@ -163,30 +174,38 @@
   /// Memory held by bodies. @pre none. Thread-safe.
   const HeldBytesLimit& held() const { return *held_limit_; }
   /// Exchanges being answered. @pre none. Thread-safe.
-  std::int64_t running() const { return running_.load(); }
+  std::int64_t running() const { return running_->load(); }
   /// Requests that are being read, and rejections being sent. @pre none.
   /// Thread-safe.
-  std::int64_t reading() const { return reading_.load(); }
+  std::int64_t reading() const { return reading_->load(); }
   /// Connections that are open. @pre none. Thread-safe.
   std::int64_t connections() const { return connections_.load(); }
   /// How exchanges ended. @pre none. Thread-safe.
   const ExchangeCounts& counts() const { return counts_; }
+  /// What became of connections without room. @pre none. Thread-safe.
+  const ConnectionCounts& connection_counts() const {
+    return connection_counts_;
+  }
 
  private:
   struct Session;
   struct Shard {
     std::size_t index = 0;
     asio::io_context* context = nullptr;
-    std::unordered_set<Session*> idle;
+    // The one that has been idle longest comes first.
+    std::list<Session*> idle;
   };
 
   asio::awaitable<void> AcceptLoop();
   // Accepts what waits already; false if descriptors have run out.
   bool AcceptWaiting();
-  // Serves a new connection, or closes it if there are too many.
+  // Serves or refuses a new connection; closes it if too many are being
+  // refused.
   void Start(tcp::socket socket, Shard& shard);
   Shard& NextShard() { return *shards_[next_shard_++ % shards_.size()]; }
   asio::awaitable<void> Serve(tcp::socket socket, Shard& shard);
+  // Makes room for one more connection; false if none is idle.
+  bool CloseLongestIdle(Shard& shard);
   asio::awaitable<bool> ServeOne(Session& session);
   // Counts the end of an exchange; logs one that was cut, with its `failure`.
   void CountEnd(const Exchange& exchange, const std::string& failure);
@@ -206,9 +225,13 @@
   std::vector<std::unique_ptr<Shard>> shards_;
   std::unique_ptr<tcp::acceptor> acceptor_;
   std::atomic<std::int64_t> connections_{0};
-  std::atomic<std::int64_t> running_{0};
-  std::atomic<std::int64_t> reading_{0};
+  // Shared with connections, which may outlive their server.
+  std::shared_ptr<std::atomic<std::int64_t>> running_ =
+      std::make_shared<std::atomic<std::int64_t>>(0);
+  std::shared_ptr<std::atomic<std::int64_t>> reading_ =
+      std::make_shared<std::atomic<std::int64_t>>(0);
   ExchangeCounts counts_;
+  ConnectionCounts connection_counts_;
   std::atomic<bool> is_closing_{false};
   std::size_t next_shard_ = 0;
 };
--- a/tests/src/process-lifecycle.cpp
+++ b/tests/src/process-lifecycle.cpp
@@ -160,5 +160,103 @@
   }));
 }
 
+class Connection {
+ public:
+  explicit Connection(const net::Address& address) {
+    socket_.connect(EndpointOf(address));
+  }
+
+  void Send(std::string_view bytes) {
+    net::error_code code;
+    net::asio::write(socket_, net::asio::buffer(bytes), code);
+  }
+  // What comes until the other end closes, or for `timeout`.
+  std::string Receive(milliseconds timeout) {
+    std::string received;
+    std::array<char, 4096> buffer{};
+    const auto until = std::chrono::steady_clock::now() + timeout;
+    socket_.non_blocking(true);
+    while (std::chrono::steady_clock::now() < until) {
+      net::error_code code;
+      const auto bytes = socket_.read_some(net::asio::buffer(buffer), code);
+      received.append(buffer.data(), bytes);
+      if (code && code != net::asio::error::would_block) break;
+      if (bytes == 0) std::this_thread::sleep_for(milliseconds(5));
+    }
+    return received;
+  }
+
+ private:
+  net::asio::io_context loop_;
+  net::tcp::socket socket_{loop_};
+};
+
+std::string HeadOf(const std::string& id, std::size_t body_bytes) {
+  return fmt::format(
+      "POST /book/x HTTP/1.1\r\nHost: {}\r\nAttempt-Id: {}\r\nCredential: "
+      "{}\r\nContent-Length: {}\r\n\r\n",
+      PlatformFleet::kHost, id, PlatformFleet::kKey, body_bytes);
+}
+
+class FewDescriptors : public ::testing::Test {
+ protected:
+  static constexpr int kLimit = 150;
+  static constexpr int kConnections = 400;
+
+  void Restart(int soft, int hard, int stated) {
+    fleet_.router(0).Kill();
+    std::string text = fleet_.SettingsOf(0);
+    const std::string section = "[limits]\n";
+    text.insert(text.find(section) + section.size(),
+                fmt::format("maxFds = {}\n", stated));
+    fleet_.WriteSettings(0, text);
+    fleet_.LaunchRouter(
+        0, {"/bin/sh", "-c",
+            fmt::format("ulimit -Sn {} && ulimit -Hn {} && exec \"$0\" \"$@\"",
+                        soft, hard)});
+    ASSERT_TRUE(fleet_.WaitReady(0));
+  }
+  void OpenIdle() {
+    for (int i = 0; i < kConnections; ++i) {
+      idle_.push_back(std::make_unique<Connection>(fleet_.router_address(0)));
+    }
+  }
+  // Answers with status 200 to `count` requests, one after the other.
+  int Served(int count) const {
+    int served = 0;
+    for (int i = 0; i < count; ++i) {
+      const auto answer = Call(fleet_.router_address(0), net::http::verb::post,
+                               "/book/x", "body",
+                               {{"Host", PlatformFleet::kHost},
+                                {"Attempt-Id", fmt::format("r{}", i)},
+                                {"Credential", PlatformFleet::kKey}},
+                               milliseconds(4000));
+      served += answer.ok() && answer.value().result_int() == 200 ? 1 : 0;
+    }
+    return served;
+  }
+
+  PlatformFleet fleet_;
+  std::vector<std::unique_ptr<Connection>> idle_;
+};
+
+// Idle connections of callers left no descriptor for targets and new callers.
+TEST_F(FewDescriptors, IdleConnectionsKeepNobodyFromBeingServed) {
+  Restart(kLimit, kLimit, kLimit);
+  OpenIdle();
+  std::this_thread::sleep_for(milliseconds(500));
+  EXPECT_EQ(Served(20), 20);
+}
+
+// The soft limit of the shell was in force instead of the stated one.
+TEST_F(FewDescriptors, TheStatedLimitIsUsedUpToTheHardOne) {
+  Restart(kLimit, 4 * kConnections, 4 * kConnections);
+  OpenIdle();
+  EXPECT_TRUE(Eventually([&] {
+    return fleet_.Metric(0, "beryllane_caller_connections") >= kConnections;
+  }));
+  EXPECT_EQ(Served(20), 20);
+}
+
 }  // namespace
 }  // namespace beryllane::testing
--- a/tests/src/unit-http_server.cpp
+++ b/tests/src/unit-http_server.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <memory>
+#include <stdexcept>
 #include <thread>
 #include <vector>
 
@@ -69,6 +70,94 @@
   EXPECT_EQ(Violations(), before + 2);
 }
 
+// A handler that failed closed the connection without an answer.
+TEST(HttpServer, AFailureOfItsHandlerIsAnswered) {
+  const std::string received =
+      Received([](Exchange& exchange) -> asio::awaitable<void> {
+        if (Target(exchange.request()) == "/first") {
+          throw std::runtime_error("planted");
+        }
+        co_return;
+      });
+  EXPECT_TRUE(received.starts_with("HTTP/1.1 400")) << received;
+  EXPECT_NE(received.find("cannot be handled"), std::string::npos) << received;
+}
+
+// Requests that ended without an answer were not counted.
+TEST(HttpServer, EachRequestIsCountedByItsEnd) {
+  ContextPool pool(1);
+  const Handler handler = [](Exchange& exchange) -> asio::awaitable<void> {
+    if (Target(exchange.request()) == "/second") co_return;
+    Response response = MakeResponse(200, "", "text/plain");
+    co_await exchange.Respond(std::move(response));
+  };
+  HttpServer server(pool, {}, handler, [](const Error& error) {
+    return MakeResponse(400, error.message, "text/plain");
+  });
+  const auto address = server.Listen({"127.0.0.1", 0});
+  ASSERT_TRUE(address.ok());
+  pool.Start();
+  testing::CallRaw(address.value(), kRequests, std::chrono::seconds(10));
+  const ExchangeCounts& counts = server.counts();
+  EXPECT_EQ(counts.read, 2U);
+  EXPECT_EQ(counts.answered, 1U);
+  EXPECT_EQ(counts.cut, 1U);
+  EXPECT_EQ(counts.caller_gone, 0U);
+  EXPECT_EQ(server.running(), 0);
+  EXPECT_EQ(server.reading(), 0);
+  pool.Stop();
+  pool.Join();
+}
+
+// Idle connections up to the limit kept new callers out.
+TEST(HttpServer, ANewConnectionTakesThePlaceOfTheLongestIdle) {
+  constexpr std::size_t kMost = 4;
+  ContextPool pool(1);
+  ServerLimits limits;
+  limits.max_connections = kMost;
+  const Handler handler = [](Exchange& exchange) -> asio::awaitable<void> {
+    const bool is_slow = Target(exchange.request()) == "/slow";
+    if (is_slow) co_await Sleep(std::chrono::seconds(2));
+    Response response = MakeResponse(200, "", "text/plain");
+    co_await exchange.Respond(std::move(response));
+  };
+  HttpServer server(pool, limits, handler, [](const Error& error) {
+    return MakeResponse(503, error.message, "text/plain");
+  });
+  const auto address = server.Listen({"127.0.0.1", 0});
+  ASSERT_TRUE(address.ok());
+  pool.Start();
+  const tcp::endpoint endpoint(asio::ip::make_address(address.value().ip),
+                               address.value().port);
+  asio::io_context callers;
+  std::vector<tcp::socket> idle;
+  for (std::size_t i = 0; i < kMost; ++i) {
+    idle.emplace_back(callers).connect(endpoint);
+  }
+  ASSERT_TRUE(
+      testing::Eventually([&] { return server.connections() == kMost; }));
+  std::vector<std::thread> slow;
+  for (std::size_t i = 0; i < kMost; ++i) {
+    slow.emplace_back([&] {
+      const std::string answer = testing::CallRaw(
+          address.value(),
+          "GET /slow HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+          std::chrono::seconds(10));
+      EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
+    });
+  }
+  ASSERT_TRUE(testing::Eventually([&] { return server.running() == kMost; }));
+  EXPECT_EQ(server.connection_counts().closed_idle, kMost);
+  // None is idle any more.
+  EXPECT_TRUE(
+      testing::CallRaw(address.value(), kRequests, std::chrono::seconds(10))
+          .starts_with("HTTP/1.1 503"));
+  EXPECT_EQ(server.connection_counts().refused, 1U);
+  for (std::thread& thread : slow) thread.join();
+  pool.Stop();
+  pool.Join();
+}
+
 asio::awaitable<void> CountTurns(const std::atomic<int>& answered, int until,
                                  int& turns) {
   while (answered < until) {
