Wait in a stop for requests that are still being read

Callers saw: a connection that was closed without an answer at the end of a planned stop, while the body of their request was still arriving.

Cause: the drain counted exchanges only, which begin when the whole request has been read. Requests that arrive, rejections that are being sent and connections that wait to be accepted were cut, and the log said cut 0.

Change: the drain waits, within its deadline, for requests that are being read, and accepts what waits before it closes the listener. They are refused with 503, not run, as those that were read in time.

--- a/src/fleet/fleet_node.cc
+++ b/src/fleet/fleet_node.cc
@@ -400,9 +400,14 @@
   caller_server_.StopAccepting();
   caller_server_.CloseIdle();
   const auto is_busy = [this] {
-    return caller_server_.running() > 0 || rollout_.is_busy();
+    return caller_server_.running() > 0 || caller_server_.reading() > 0 ||
+           rollout_.is_busy();
   };
-  while (RuntimeClock::now() < deadline && is_busy()) {
+  // Connections that have just been accepted show at the second check.
+  int idle_checks = 0;
+  constexpr int kIdleChecks = 2;
+  while (RuntimeClock::now() < deadline && idle_checks < kIdleChecks) {
+    idle_checks = is_busy() ? 0 : idle_checks + 1;
     co_await net::Sleep(kPollInterval);
   }
 }
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -299,6 +299,9 @@
     acceptor_->close(ignored);
   });
 }
+    if (!acceptor_) return;
+    // The kernel would reset connections that wait to be accepted.
+    AcceptWaiting();
 
 void HttpServer::CloseIdle() {
   for (auto& shard : shards_) {
--- a/tests/src/process-lifecycle.cpp
+++ b/tests/src/process-lifecycle.cpp
@@ -198,6 +198,22 @@
       PlatformFleet::kHost, id, PlatformFleet::kKey, body_bytes);
 }
 
+// A stop closed connections whose request was still arriving.
+TEST(Stop, ARequestThatIsArrivingIsAnswered) {
+  constexpr milliseconds kUntilRefusing{3200};
+  PlatformFleet fleet;
+  Connection caller(fleet.router_address(0));
+  caller.Send(HeadOf("slow", 4) + "bo");
+  std::this_thread::sleep_for(milliseconds(200));
+  fleet.router(0).Signal(SIGTERM);
+  std::this_thread::sleep_for(kUntilRefusing);
+  caller.Send("dy");
+  const std::string answer = caller.Receive(milliseconds(3000));
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << answer;
+  EXPECT_EQ(fleet.RunsOf("slow"), 0);
+  EXPECT_EQ(fleet.router(0).Wait(), 0);
+}
+
 class FewDescriptors : public ::testing::Test {
  protected:
   static constexpr int kLimit = 150;
