Let the peer of a long message pause in its reading

Callers saw: 502 for a large request whose target took nothing of the body for 3 s, and long answers cut where the caller paused for as long.

Cause: TCP_USER_TIMEOUT counts the time in which a full window keeps bytes from being sent, too, so the kernel ended sound connections.

Change: whoever sends more than 32 KB on a connection allows the time of the whole call, or of a write to a caller, instead.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -58,6 +58,8 @@
   Watchdog watchdog{socket};
   RuntimeClock::time_point idle_until;
   bool is_new = true;
+  // Whether its peer may leave what was sent unacknowledged for longer.
+  bool is_patient = false;
   // False while part of a request is still to be sent.
   bool is_written = true;
 
@@ -311,8 +313,6 @@
 
 void HttpClient::CloseIdle(const Address& address) { idle_.erase(address); }
 
-void HttpClient::PutIdle(std::shared_ptr<Connection> connection) {
-  auto& idle = idle_[connection->address];
 void HttpClient::CloseExpired() {
   const auto now = RuntimeClock::now();
   for (auto it = idle_.begin(); it != idle_.end();) {
@@ -330,6 +330,8 @@
   return count;
 }
 
+void HttpClient::PutIdle(std::shared_ptr<Connection> connection) {
+  auto& idle = idle_[connection->address];
   idle.push_back(std::move(connection));
   if (idle.size() > kMaxIdle) idle.pop_front();
 }
@@ -346,6 +348,14 @@
 Result<Done> HttpClient::StartWrite(AnswerStream& answer,
                                     std::shared_ptr<const std::string> wire) {
   tcp::socket& socket = answer.connection_->socket;
+  const bool is_long = wire->size() > kWindowBytes;
+  if (is_long || answer.connection_->is_patient) {
+    const auto left =
+        std::chrono::ceil<milliseconds>(answer.deadline_ - RuntimeClock::now());
+    SetUnacknowledgedTimeout(socket, is_long ? std::max(milliseconds(1), left)
+                                             : kUnacknowledgedTimeout);
+    answer.connection_->is_patient = is_long;
+  }
   error_code code;
   std::size_t sent = socket.write_some(asio::buffer(*wire), code);
   if (code == asio::error::would_block) {
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -134,6 +134,10 @@
   // suspension.
   error_code code;
   const std::size_t total = asio::buffer_size(buffers);
+  sent_bytes_ += total;
+  if (sent_bytes_ > kWindowBytes) {
+    SetUnacknowledgedTimeout(socket_, limits_.write_timeout);
+  }
   std::size_t sent = socket_.write_some(buffers, code);
   if (code == asio::error::would_block) {
     code = {};
--- a/src/net/socket_options.cc
+++ b/src/net/socket_options.cc
@@ -14,8 +14,6 @@
 constexpr int kProbeIdleSeconds = 1;
 constexpr int kProbeIntervalSeconds = 1;
 constexpr int kProbeCount = 2;
-// Sent bytes that stay unacknowledged for this long end the connection.
-constexpr int kUnacknowledgedMs = 3000;
 
 }  // namespace
 
@@ -30,9 +28,16 @@
       ignored);
   socket.set_option(IntegerOption<IPPROTO_TCP, TCP_KEEPCNT>(kProbeCount),
                     ignored);
-  socket.set_option(
-      IntegerOption<IPPROTO_TCP, TCP_USER_TIMEOUT>(kUnacknowledgedMs), ignored);
+  SetUnacknowledgedTimeout(socket, kUnacknowledgedTimeout);
   socket.non_blocking(true, ignored);
 }
 
+void SetUnacknowledgedTimeout(tcp::socket& socket,
+                              std::chrono::milliseconds timeout) {
+  error_code ignored;
+  socket.set_option(IntegerOption<IPPROTO_TCP, TCP_USER_TIMEOUT>(
+                        static_cast<int>(timeout.count())),
+                    ignored);
+}
+
 }  // namespace beryllane::net
--- a/src/net/socket_options.h
+++ b/src/net/socket_options.h
@@ -3,6 +3,8 @@
 #ifndef BERYLLANE_SRC_NET_SOCKET_OPTIONS_H_
 #define BERYLLANE_SRC_NET_SOCKET_OPTIONS_H_
 
+#include <chrono>
+
 #include "src/net/runtime.h"
 
 namespace beryllane::net {
@@ -12,6 +14,19 @@
 /// @pre `socket` is open. Not thread-safe.
 void SetStreamOptions(tcp::socket& socket);
 
+/// Bytes that a peer takes even if its program reads none.
+inline constexpr std::size_t kWindowBytes = 32 * 1024;
+
+/// How long sent bytes may stay unacknowledged at first.
+inline constexpr std::chrono::milliseconds kUnacknowledgedTimeout{3000};
+
+/// Sets how long sent bytes may stay unacknowledged before the kernel ends the
+/// connection. A peer whose window is full acknowledges none, so whoever sends
+/// more than `kWindowBytes` has to allow as long as it may be slow. @pre
+/// `socket` is open. Not thread-safe.
+void SetUnacknowledgedTimeout(tcp::socket& socket,
+                              std::chrono::milliseconds timeout);
+
 }  // namespace beryllane::net
 
 #endif  // BERYLLANE_SRC_NET_SOCKET_OPTIONS_H_
--- a/tests/src/process-lifecycle.cpp
+++ b/tests/src/process-lifecycle.cpp
@@ -214,6 +214,23 @@
   EXPECT_EQ(fleet.router(0).Wait(), 0);
 }
 
+// At the end of a stop, connections that were still open referred to parts of
+// the process that had been destroyed.
+TEST(Stop, OpenConnectionsDoNotChangeTheStatusOfTheProcess) {
+  Fleet fleet(1, 1, {}, {"--drain_limit_ms", "300", "--drain_grace_ms", "100"});
+  std::vector<std::unique_ptr<Connection>> callers;
+  for (int i = 0; i < 8; ++i) {
+    callers.push_back(std::make_unique<Connection>(fleet.router_address(0)));
+    if (i % 2 == 0) callers.back()->Send("POST /services/x HTTP/1.1\r\nHos");
+  }
+  std::thread stream(
+      [&] { fleet.Complete(0, "a long catalogue", 4000, /*is_stream=*/true); });
+  std::this_thread::sleep_for(milliseconds(300));
+  fleet.router(0).Signal(SIGTERM);
+  EXPECT_EQ(fleet.router(0).Wait(), 0);
+  stream.join();
+}
+
 class FewDescriptors : public ::testing::Test {
  protected:
   static constexpr int kLimit = 150;
@@ -274,5 +291,17 @@
   EXPECT_EQ(Served(20), 20);
 }
 
+// A TRACE request with a body had no answer until its caller left.
+TEST(Request, ATraceWithABodyIsRefused) {
+  PlatformFleet fleet;
+  Connection caller(fleet.router_address(0));
+  std::string head = HeadOf("trace", 4);
+  head.replace(0, 4, "TRACE");
+  caller.Send(head + "body");
+  const std::string answer = caller.Receive(milliseconds(3000));
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 400")) << answer;
+  EXPECT_EQ(fleet.RunsOf("trace"), 0);
+}
+
 }  // namespace
 }  // namespace beryllane::testing
