Await in no short circuit

Cause: the compiler loses the variables of the coroutine there. Four places of the tree awaited behind && or ||; they ran, but rely on the same.

--- a/src/fleet/part_quarantine.cc
+++ b/src/fleet/part_quarantine.cc
@@ -205,9 +205,11 @@
   co_await net::Sleep(kBreakSpread);
   const bool may_check =
       runner->gate->MaySend({SendKind::kConnectionCheck}, RuntimeClock::now());
-  const bool is_refused =
-      may_check && co_await net::IsConnectionRefused(runner->entry.address,
-                                                     kConnectCheckTimeout);
+  bool is_refused = false;
+  if (may_check) {
+    is_refused = co_await net::IsConnectionRefused(runner->entry.address,
+                                                   kConnectCheckTimeout);
+  }
   const std::vector<Suspect> suspects =
       std::move(broken_.extract(runner->id_hash).mapped());
   if (!is_refused) co_return;
--- a/src/fleet/store_follower.cc
+++ b/src/fleet/store_follower.cc
@@ -280,13 +280,17 @@
   targets_next_ = page.value()->next;
   if (page.value()->reaches_end()) co_return true;
   // Until the rest is read, the list may lack targets and show some that left.
-  co_return !page.value()->records.empty() && co_await ReadTargets();
+  if (page.value()->records.empty()) co_return false;
+  co_return co_await ReadTargets();
 }
 
 awaitable<void> StoreFollower::FollowQuarantine() {
   for (;;) {
     const bool is_followed = quarantine_next_ && IsRelayActive();
-    const bool has_read = !is_followed && is_up_ && co_await ReadQuarantine();
+    bool has_read = false;
+    if (!is_followed && is_up_) {
+      has_read = co_await ReadQuarantine();
+    }
     if (!has_read) {
       co_await net::Sleep(kWaitInterval);
     }
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -169,9 +169,9 @@
   response.prepare_payload();
   if (request_.method() == http::verb::head) response.body().clear();
   const auto wire = ToWire(response);
-  const bool ok = wire && co_await WriteAll(asio::buffer(*wire));
-  is_finished_ = ok;
-  co_return ok;
+  if (!wire) co_return false;
+  is_finished_ = co_await WriteAll(asio::buffer(*wire));
+  co_return is_finished_;
 }
 
 asio::awaitable<bool> Exchange::StartStream(
@@ -243,22 +243,22 @@
         shard(own_shard),
         buffer(std::max(head_bytes, kMaxUnparsedBytes) + kReadBuffer) {}
 
-  tcp::socket socket;
-  Shard& shard;
-  beast::flat_buffer buffer;
-  Watchdog watchdog{socket};
   void EnterIdle() { idle_place = shard.idle.insert(shard.idle.end(), this); }
   void LeaveIdle() {
     if (idle_place) shard.idle.erase(*idle_place);
     idle_place.reset();
   }
 
+  tcp::socket socket;
+  Shard& shard;
+  beast::flat_buffer buffer;
+  Watchdog watchdog{socket};
+  // Its place among the idle connections, if it is one of them.
+  std::optional<std::list<Session*>::iterator> idle_place;
   // Requests served so far. A new connection is served once even while the
   // server closes, because its peer cannot know.
   int served = 0;
 };
-  // Its place among the idle connections, if it is one of them.
-  std::optional<std::list<Session*>::iterator> idle_place;
 
 HttpServer::HttpServer(ContextPool& pool, ServerLimits limits, Handler handler,
                        RejectionFormatter format_rejection)
@@ -286,11 +286,11 @@
   if (!code) acceptor_->listen(asio::socket_base::max_listen_connections, code);
   if (!code) acceptor_->non_blocking(true, code);
   if (code) {
+    acceptor_.reset();
     return Error{ErrorId::kSettingInvalid,
                  fmt::format("cannot listen on {}: {}", ToString(address),
                              code.message()),
                  Verdict::kNotRun};
-    acceptor_.reset();
   }
   Spawn(pool_.at(0).get_executor(), "accept", AcceptLoop());
   return Address{address.ip, acceptor_->local_endpoint().port()};
@@ -299,13 +299,13 @@
 void HttpServer::StopAccepting() {
   CloseAfterResponses();
   asio::post(pool_.at(0), [this] {
+    if (!acceptor_) return;
+    // The kernel would reset connections that wait to be accepted.
+    AcceptWaiting();
     error_code ignored;
     acceptor_->close(ignored);
   });
 }
-    if (!acceptor_) return;
-    // The kernel would reset connections that wait to be accepted.
-    AcceptWaiting();
 
 void HttpServer::CloseIdle() {
   for (auto& shard : shards_) {
@@ -368,6 +368,8 @@
   error_code ignored;
   SetStreamOptions(socket);
   Session session(std::move(socket), shard, limits_.head_bytes);
+  const bool is_full =
+      connections_.load() > static_cast<std::int64_t>(limits_.max_connections);
   try {
     if (is_full && !CloseLongestIdle(shard)) {
       connection_counts_.refused.fetch_add(1);
@@ -380,21 +382,12 @@
     }
   } catch (const std::exception& error) {
     ReportTaskFailure("connection", error.what());
+    session.LeaveIdle();
   }
   session.socket.shutdown(tcp::socket::shutdown_both, ignored);
-  const bool is_full =
-      connections_.load() > static_cast<std::int64_t>(limits_.max_connections);
   connections_.fetch_sub(1);
 }
 
-asio::awaitable<bool> HttpServer::WaitForRequest(Session& session) {
-  if (session.buffer.size() > 0) co_return true;
-    session.LeaveIdle();
-  if (is_closing_.load() && session.served > 0) co_return false;
-  session.EnterIdle();
-  session.watchdog.Arm(limits_.idle_timeout);
-  const auto [code, bytes] = co_await ReadSome(session.socket, session.buffer);
-  session.watchdog.Disarm();
 bool HttpServer::CloseLongestIdle(Shard& shard) {
   if (shard.idle.empty()) return false;
   Session* session = shard.idle.front();
@@ -405,6 +398,13 @@
   return true;
 }
 
+asio::awaitable<bool> HttpServer::WaitForRequest(Session& session) {
+  if (session.buffer.size() > 0) co_return true;
+  if (is_closing_.load() && session.served > 0) co_return false;
+  session.EnterIdle();
+  session.watchdog.Arm(limits_.idle_timeout);
+  const auto [code, bytes] = co_await ReadSome(session.socket, session.buffer);
+  session.watchdog.Disarm();
   session.LeaveIdle();
   co_return !code;
 }
@@ -465,13 +465,6 @@
     failure = error.what();
     ReportTaskFailure("handler", failure);
   }
-  CountEnd(exchange, failure);
-  co_return exchange.is_reusable() && !is_closing_.load();
-}
-
-void HttpServer::CountEnd(const Exchange& exchange,
-                          const std::string& failure) {
-  if (exchange.is_finished()) {
   if (!failure.empty() && !exchange.is_started()) {
     exchange.CloseAfter();
     const Error error{ErrorId::kInternal, "the request cannot be handled",
@@ -479,6 +472,13 @@
     Response response = format_rejection_(error);
     co_await exchange.Respond(std::move(response));
   }
+  CountEnd(exchange, failure);
+  co_return exchange.is_reusable() && !is_closing_.load();
+}
+
+void HttpServer::CountEnd(const Exchange& exchange,
+                          const std::string& failure) {
+  if (exchange.is_finished()) {
     counts_.answered.fetch_add(1);
   } else if (exchange.IsCallerGone()) {
     counts_.caller_gone.fetch_add(1);
