--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -95,6 +95,7 @@
     broken_.emplace_back("the fleet did not recover");
   }
   record_.calls = callers_->Finish();
+  CheckCounts();
   for (const Member& target : targets_) {
     ReadTargetLog(fleet_.TargetLog(target.name), record_);
   }
@@ -103,6 +104,26 @@
   return broken_;
 }
 
+void Soak::CheckCounts() {
+  for (const Member& router : routers_) {
+    const auto count = [&](const char* name) {
+      return fleet_.Metric(router.index, name);
+    };
+    const bool is_complete = testing::Eventually([&] {
+      return count("beryllane_exchanges_read_total") ==
+             count("beryllane_exchanges_answered_total") +
+                 count("beryllane_exchanges_caller_gone_total") +
+                 count("beryllane_exchanges_cut_total");
+    });
+    if (!is_complete) {
+      broken_.push_back(router.name + " has read requests without an end");
+    }
+    if (count("beryllane_task_failures_total") > 0) {
+      broken_.push_back("a task failed at " + router.name);
+    }
+  }
+}
+
 void Soak::Begin(const Fault& fault) {
   switch (fault.kind) {
     case FaultKind::kKillRouter:
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -45,6 +45,8 @@
     nlohmann::json change = nlohmann::json::object();
   };
 
+  // Each request that a router read must have ended, and no task failed.
+  void CheckCounts();
   void Begin(const Fault& fault);
   void End(const Fault& fault);
   void SetTargetFault(const Fault& fault, bool is_on);
