--- a/src/fleet/fleet_node.cc
+++ b/src/fleet/fleet_node.cc
@@ -56,6 +56,9 @@
 // interface that is just being set up is there.
 constexpr milliseconds kListenPatience{30000};
 constexpr milliseconds kListenInterval{100};
+constexpr milliseconds kReloadPatience{3000};
+// Connections to the readiness check and to the metrics.
+constexpr std::size_t kMaxOperatorConnections = 64;
 
 net::ServerLimits CallerServerLimits(const platform::Settings& settings) {
   net::ServerLimits limits;
@@ -68,6 +71,12 @@
   return limits;
 }
 
+net::ServerLimits OperatorServerLimits() {
+  net::ServerLimits limits;
+  limits.max_connections = kMaxOperatorConnections;
+  return limits;
+}
+
 net::Response RejectInput(const Error& error) {
   if (error.id == ErrorId::kOverloaded) {
     telemetry::Log(Level::kWarning, telemetry::event::kRequestFailed,
@@ -111,10 +120,12 @@
           [this](net::Exchange& e) { return frontend_.Handle(e); },
           RejectInput),
       readiness_server_(
-          pool_, {}, [this](net::Exchange& e) { return AnswerReady(e); },
+          pool_, OperatorServerLimits(),
+          [this](net::Exchange& e) { return AnswerReady(e); },
           caller::ErrorResponse),
       metrics_server_(
-          pool_, {}, [this](net::Exchange& e) { return AnswerMetrics(e); },
+          pool_, OperatorServerLimits(),
+          [this](net::Exchange& e) { return AnswerMetrics(e); },
           caller::ErrorResponse) {
   follower_.set_peers(&peers_);
   peers_.set_loop_lag(&loop_lag_);
@@ -269,7 +280,7 @@
   net::ReleaseSignals();
   const auto executor = pool_.at(0).get_executor();
   net::Spawn(executor, "stop", AwaitStop());
-  net::Spawn(executor, "reload", AwaitReload());
+  net::SpawnLoop(executor, "reload", [this] { return AwaitReload(); });
   net::Spawn(executor, "start", Start());
   pool_.at(0).run();
   telemetry::Log(Level::kInfo, telemetry::event::kStopped,
@@ -294,8 +305,8 @@
                   {"region", settings_.region}});
   const auto executor = pool_.at(0).get_executor();
   net::SpawnLoop(executor, "loop-lag", [this] { return loop_lag_.Run(); });
-  net::Spawn(executor, "store", follower_.Run());
-  net::Spawn(executor, "peers", peers_.Run());
+  net::SpawnLoop(executor, "store", [this] { return follower_.Run(); });
+  net::SpawnLoop(executor, "peers", [this] { return peers_.Run(); });
   net::SpawnLoop(executor, "quarantine", [this] { return quarantine_.Run(); });
   net::SpawnLoop(executor, "caches", [this] { return cache_follower_.Run(); });
   net::SpawnLoop(executor, "rollout", [this] { return rollout_.Run(); });
@@ -330,6 +341,7 @@
     if (!opened.ok()) {
       telemetry::Log(Level::kWarning, telemetry::event::kWaitingToStart,
                      {{"message", opened.error().message}});
+      telemetry::FlushLog();
     }
     while (!opened.ok() && RuntimeClock::now() < until) {
       co_await net::Sleep(kListenInterval);
@@ -379,7 +391,11 @@
   telemetry::Log(Level::kInfo, telemetry::event::kSignalled,
                  {{"signal", signal}, {"message", code ? code.message() : ""}});
   // No caller has connected before the start is complete.
-  if (is_started_) co_await Drain();
+  try {
+    if (is_started_) co_await Drain();
+  } catch (const std::exception& error) {
+    net::ReportTaskFailure("drain", error.what());
+  }
   pool_.at(0).stop();
 }
 
@@ -416,6 +432,12 @@
   for (;;) {
     co_await reload_signals_.async_wait(net::kAsTuple);
     auto read = platform::ReadSettings(settings_path_);
+    // The file may still be being written.
+    const auto until = RuntimeClock::now() + kReloadPatience;
+    while (!read.ok() && RuntimeClock::now() < until) {
+      co_await net::Sleep(kListenInterval);
+      read = platform::ReadSettings(settings_path_);
+    }
     if (!read.ok()) {
       telemetry::Log(Level::kWarning, telemetry::event::kReloaded,
                      {{"ok", false}, {"message", read.error().message}});
--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -132,7 +132,12 @@
     if (!is_registration_lost_) continue;
     co_await net::Sleep(delay);
     is_registration_lost_ = false;
-    const bool is_registered = co_await Register();
+    bool is_registered = false;
+    try {
+      is_registered = co_await Register();
+    } catch (const std::exception& error) {
+      net::ReportTaskFailure("registration", error.what());
+    }
     is_registration_lost_ = is_registration_lost_ || !is_registered;
   }
 }
--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -50,6 +50,11 @@
   return ids;
 }
 
+// Whether the router lacked what a connection needs, so that nothing was sent.
+bool IsOwnShortage(const Error& error) {
+  return error.id == ErrorId::kOverloaded && error.verdict == Verdict::kNotRun;
+}
+
 // Time since `start` in milliseconds; -1 if there is none.
 std::int64_t MillisSince(std::optional<RuntimeClock::time_point> start) {
   if (!start) return -1;
@@ -590,8 +595,8 @@
   }
   const bool is_unsent = error->id == ErrorId::kTargetWithdrawn;
   if (is_unsent) OnUnsent();
-  const bool has_arrived =
-      error->id != ErrorId::kTargetUnreachable && !is_unsent;
+  const bool has_arrived = error->id != ErrorId::kTargetUnreachable &&
+                           !is_unsent && !IsOwnShortage(*error);
   if (has_arrived) ++delivered_;
   if (error->verdict != Verdict::kNotRun) ++possible_runs_;
   LogFailedAttempt(target, *error);
@@ -635,7 +640,7 @@
     return false;
   }
   const bool is_safe = error.verdict == Verdict::kNotRun || IsIdempotent();
-  if (!is_safe) return false;
+  if (!is_safe || IsOwnShortage(error)) return false;
   if (IsBrokenOff(error) && quarantine_.IsRepeatUnsafe(prompt_)) return false;
   const bool was_sent = error.id != ErrorId::kTargetWithdrawn;
   if (delivered_ == 0 || !was_sent) return true;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -1,6 +1,8 @@
 #include "src/net/http_client.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 #include <algorithm>
 #include <array>
@@ -42,7 +44,8 @@
   namespace errc = boost::system::errc;
   return code == errc::too_many_files_open ||
          code == errc::too_many_files_open_in_system ||
-         code == errc::no_buffer_space || code == errc::not_enough_memory;
+         code == errc::no_buffer_space || code == errc::not_enough_memory ||
+         code == errc::address_not_available;
 }
 
 std::int64_t Millis(nanoseconds duration) {
@@ -342,6 +345,12 @@
     std::shared_ptr<Connection> idle = TakeIdle(address);
     if (idle) co_return idle;
   }
+  auto connected = co_await Connect(address, options.connect_timeout);
+  const bool is_short =
+      !connected.ok() && connected.error().id == ErrorId::kOverloaded;
+  if (!is_short || idle_.empty()) co_return connected;
+  // Idle connections hold what this one lacks.
+  idle_.clear();
   co_return co_await Connect(address, options.connect_timeout);
 }
 
@@ -367,13 +376,36 @@
                      "the request broke off: " + code.message(),
                      ExchangeStage::kBeforeFirstByte);
   }
-  if (sent == wire->size()) return Done{};
+  if (sent == wire->size()) {
+    if (is_long) RestoreWhenAcknowledged(answer.connection_);
+    return Done{};
+  }
   // A failure shows when the answer is read.
   answer.connection_->is_written = false;
   SendRest(answer.connection_, std::move(wire), sent);
   return Done{};
 }
 
+void HttpClient::RestoreWhenAcknowledged(
+    std::shared_ptr<Connection> connection) {
+  constexpr milliseconds kInterval{200};
+  if (!connection->is_patient || !connection->socket.is_open()) return;
+  int unacknowledged = 0;
+  const bool is_known =
+      ioctl(connection->socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0;
+  if (!is_known || unacknowledged == 0) {
+    SetUnacknowledgedTimeout(connection->socket, kUnacknowledgedTimeout);
+    connection->is_patient = false;
+    return;
+  }
+  auto timer =
+      std::make_shared<Timer>(connection->socket.get_executor(), kInterval);
+  timer->async_wait([timer, connection = std::move(connection)](
+                        const error_code& code) mutable {
+    if (!code) RestoreWhenAcknowledged(std::move(connection));
+  });
+}
+
 // The operation has several steps and may outlive the answer: a step that has
 // completed goes on with the next one after the socket was closed.
 void HttpClient::SendRest(std::shared_ptr<Connection> connection,
@@ -393,6 +425,7 @@
                         SendRest(connection, wire, sent + bytes);
                       } else {
                         connection->is_written = !failure;
+                        RestoreWhenAcknowledged(connection);
                       }
                     });
 }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -168,6 +168,9 @@
   // background, so that an early answer is seen.
   Result<Done> StartWrite(AnswerStream& answer,
                           std::shared_ptr<const std::string> wire);
+  // Waits again only as long as at first for acknowledgements, once all that
+  // was sent has been acknowledged.
+  static void RestoreWhenAcknowledged(std::shared_ptr<Connection> connection);
   // Sends what follows the first `sent` bytes.
   static void SendRest(std::shared_ptr<Connection> connection,
                        std::shared_ptr<const std::string> wire,
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -135,7 +135,8 @@
   error_code code;
   const std::size_t total = asio::buffer_size(buffers);
   sent_bytes_ += total;
-  if (sent_bytes_ > kWindowBytes) {
+  if (sent_bytes_ > kWindowBytes && !is_patient_) {
+    is_patient_ = true;
     SetUnacknowledgedTimeout(socket_, limits_.write_timeout);
   }
   std::size_t sent = socket_.write_some(buffers, code);
@@ -244,15 +245,23 @@
         buffer(std::max(head_bytes, kMaxUnparsedBytes) + kReadBuffer) {}
 
   void EnterIdle() { idle_place = shard.idle.insert(shard.idle.end(), this); }
+  // Whether its first request may still be on its way.
+  bool IsNew() const {
+    return served == 0 && RuntimeClock::now() - opened_at < kNewTime;
+  }
   void LeaveIdle() {
     if (idle_place) shard.idle.erase(*idle_place);
     idle_place.reset();
   }
 
+  // Time in which the first request of a new connection arrives.
+  static constexpr std::chrono::milliseconds kNewTime{1000};
+
   tcp::socket socket;
   Shard& shard;
   beast::flat_buffer buffer;
   Watchdog watchdog{socket};
+  RuntimeClock::time_point opened_at = RuntimeClock::now();
   // Its place among the idle connections, if it is one of them.
   std::optional<std::list<Session*>::iterator> idle_place;
   // Requests served so far. A new connection is served once even while the
@@ -292,7 +301,8 @@
                              code.message()),
                  Verdict::kNotRun};
   }
-  Spawn(pool_.at(0).get_executor(), "accept", AcceptLoop());
+  SpawnLoop(pool_.at(0).get_executor(), "accept",
+            [this] { return AcceptLoop(); });
   return Address{address.ip, acceptor_->local_endpoint().port()};
 }
 
@@ -301,7 +311,7 @@
   asio::post(pool_.at(0), [this] {
     if (!acceptor_) return;
     // The kernel would reset connections that wait to be accepted.
-    AcceptWaiting();
+    CallGuarded("accept", [this] { AcceptWaiting(); });
     error_code ignored;
     acceptor_->close(ignored);
   });
@@ -312,7 +322,7 @@
     asio::post(*shard->context, [&shard = *shard] {
       for (Session* session : shard.idle) {
         error_code ignored;
-        session->socket.cancel(ignored);
+        if (!session->IsNew()) session->socket.cancel(ignored);
       }
     });
   }
@@ -375,6 +385,7 @@
       connection_counts_.refused.fetch_add(1);
       Error error{ErrorId::kOverloaded, "all connections are in use",
                   Verdict::kNotRun};
+      const std::shared_ptr<void> reading_guard = CountWhileHeld(reading_);
       co_await Reject(session, std::move(error));
     } else {
       while (co_await ServeOne(session)) {
@@ -389,8 +400,11 @@
 }
 
 bool HttpServer::CloseLongestIdle(Shard& shard) {
-  if (shard.idle.empty()) return false;
-  Session* session = shard.idle.front();
+  const auto longest =
+      std::find_if(shard.idle.begin(), shard.idle.end(),
+                   [](const Session* session) { return !session->IsNew(); });
+  if (longest == shard.idle.end()) return false;
+  Session* session = *longest;
   session->LeaveIdle();
   error_code ignored;
   session->socket.cancel(ignored);
@@ -401,8 +415,15 @@
 asio::awaitable<bool> HttpServer::WaitForRequest(Session& session) {
   if (session.buffer.size() > 0) co_return true;
   if (is_closing_.load() && session.served > 0) co_return false;
+  // The request of a new connection is on its way.
+  std::shared_ptr<void> new_guard;
+  nanoseconds wait = limits_.idle_timeout;
+  if (is_closing_.load() && session.IsNew()) {
+    new_guard = CountWhileHeld(reading_);
+    wait = Session::kNewTime;
+  }
   session.EnterIdle();
-  session.watchdog.Arm(limits_.idle_timeout);
+  session.watchdog.Arm(wait);
   const auto [code, bytes] = co_await ReadSome(session.socket, session.buffer);
   session.watchdog.Disarm();
   session.LeaveIdle();
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -113,6 +113,8 @@
   // answer arrives.
   std::size_t request_bytes_ = request_.body().size();
   std::size_t sent_bytes_ = 0;
+  // Whether the caller may leave what was sent unacknowledged for longer.
+  bool is_patient_ = false;
   RuntimeClock::time_point started_ = RuntimeClock::now();
   bool is_started_ = false;
   bool is_finished_ = false;
@@ -156,7 +158,7 @@
   HttpServer& operator=(const HttpServer&) = delete;
 
   /// Binds and starts to accept; returns the address with the port chosen. On
-  /// failure the error names the address. @pre called once.
+  /// failure the error names the address. @pre no call before succeeded.
   Result<Address> Listen(const Address& address);
   /// Stops accepting; running exchanges go on and close their connections.
   /// @pre none. Thread-safe.
@@ -175,8 +177,8 @@
   const HeldBytesLimit& held() const { return *held_limit_; }
   /// Exchanges being answered. @pre none. Thread-safe.
   std::int64_t running() const { return running_->load(); }
-  /// Requests that are being read, and rejections being sent. @pre none.
-  /// Thread-safe.
+  /// Requests that are being read or, while the server closes, awaited on a new
+  /// connection, and rejections being sent. @pre none. Thread-safe.
   std::int64_t reading() const { return reading_->load(); }
   /// Connections that are open. @pre none. Thread-safe.
   std::int64_t connections() const { return connections_.load(); }
--- a/src/telemetry/crash_log.cc
+++ b/src/telemetry/crash_log.cc
@@ -23,7 +23,7 @@
       write(STDERR_FILENO, text.data(), text.size());
 }
 
-// Calls only functions that are safe in a signal handler.
+// `backtrace` allocates nothing once its library has been loaded.
 void OnFatalSignal(int signal) {
   constexpr int kMaxFrames = 32;
   constexpr int kTen = 10;
@@ -50,6 +50,7 @@
     } catch (...) {
     }
   }
+  WriteText("uncaught: " + message + "\n");
   Log(Level::kError, event::kCrashed, {{"message", message}});
   FlushLog();
   std::abort();
--- a/src/wire/peer_link.cc
+++ b/src/wire/peer_link.cc
@@ -107,17 +107,18 @@
     net::asio::post(loop, [this, slot, still_alive,
                            request = std::move(request)]() mutable {
       if (still_alive.expired()) return;
-      const ReplyFunction reply = [this, slot,
-                                   still_alive](const std::string& message) {
-        if (still_alive.expired()) return;
+      // The slot may have its next request once the reply was sent.
+      const auto is_replied = std::make_shared<bool>(false);
+      const ReplyFunction reply = [this, slot, still_alive,
+                                   is_replied](const std::string& message) {
+        if (still_alive.expired() || std::exchange(*is_replied, true)) return;
         bytes.sent.Add(message.size());
         slot->Send(message);
       };
       const bool is_handled = net::CallGuarded(
           "peer-request", [&] { handler(std::move(request), reply); });
-      const bool is_replied = slot->phase != ReplySlot::Phase::kHandling;
       // A slot without a reply would take no further request.
-      if (!is_handled && !is_replied) reply("");
+      if (!is_handled) reply("");
     });
   }
 
@@ -134,13 +135,17 @@
                        Handler handler)
     : impl_(std::make_unique<Impl>(loop, metrics, std::move(handler))) {}
 
-PeerServer::~PeerServer() {
+PeerServer::~PeerServer() { Close(); }
+
+void PeerServer::Close() {
   if (!impl_->is_open) return;
   nng_close(impl_->socket);
   for (auto& slot : impl_->slots) {
     nng_aio_stop(slot->aio);
     nng_aio_free(slot->aio);
   }
+  impl_->slots.clear();
+  impl_->is_open = false;
 }
 
 Result<Done> PeerServer::Listen(const std::string& address) {
@@ -158,7 +163,11 @@
     slot->on_done = [impl = impl_.get()](ReplySlot* s) { impl->OnDone(s); };
     code = nng_aio_alloc(&slot->aio, ReplySlot::OnAio, slot.get());
     if (code == 0) code = nng_ctx_open(&slot->context, impl_->socket);
-    if (code != 0) return PeerError(address, code);
+    if (code != 0) {
+      nng_aio_free(slot->aio);
+      Close();
+      return PeerError(address, code);
+    }
     impl_->slots.push_back(std::move(slot));
     impl_->slots.back()->Receive();
   }
--- a/src/wire/peer_link.h
+++ b/src/wire/peer_link.h
@@ -35,6 +35,8 @@
   Result<Done> Listen(const std::string& address);
 
  private:
+  void Close();
+
   struct Impl;
   std::unique_ptr<Impl> impl_;
 };
--- a/tests/src/process-lifecycle.cpp
+++ b/tests/src/process-lifecycle.cpp
@@ -235,6 +235,8 @@
  protected:
   static constexpr int kLimit = 150;
   static constexpr int kConnections = 400;
+  // The request of a new connection may be on its way for this long.
+  static constexpr milliseconds kTimeOfFirstRequest{1100};
 
   void Restart(int soft, int hard, int stated) {
     fleet_.router(0).Kill();
@@ -277,7 +279,7 @@
 TEST_F(FewDescriptors, IdleConnectionsKeepNobodyFromBeingServed) {
   Restart(kLimit, kLimit, kLimit);
   OpenIdle();
-  std::this_thread::sleep_for(milliseconds(500));
+  std::this_thread::sleep_for(kTimeOfFirstRequest);
   EXPECT_EQ(Served(20), 20);
 }
 
--- a/tests/src/unit-http_server.cpp
+++ b/tests/src/unit-http_server.cpp
@@ -136,6 +136,8 @@
   }
   ASSERT_TRUE(
       testing::Eventually([&] { return server.connections() == kMost; }));
+  // The request of a new connection may be on its way for a second.
+  std::this_thread::sleep_for(std::chrono::milliseconds(1100));
   std::vector<std::thread> slow;
   for (std::size_t i = 0; i < kMost; ++i) {
     slow.emplace_back([&] {
