Count no connection that was closed to make room

Seen in HttpServer.ANewConnectionTakesThePlaceOfTheLongestIdle, 1 of 1 beside builds: of four new connections that came together one was closed without an answer, though four idle ones were there to go.

Cause: a connection that was closed for a new one counted until its coroutine had ended, which the next accept did not wait for.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -262,6 +262,9 @@
   beast::flat_buffer buffer;
   Watchdog watchdog{socket};
   RuntimeClock::time_point opened_at = RuntimeClock::now();
+  // Whether it takes up one of the server's connections. One that was closed to
+  // make room does not.
+  bool is_counted = true;
   // Its place among the idle connections, if it is one of them.
   std::optional<std::list<Session*>::iterator> idle_place;
   // Requests served so far. A new connection is served once even while the
@@ -396,7 +399,7 @@
     session.LeaveIdle();
   }
   session.socket.shutdown(tcp::socket::shutdown_both, ignored);
-  connections_.fetch_sub(1);
+  if (session.is_counted) connections_.fetch_sub(1);
 }
 
 bool HttpServer::CloseLongestIdle(Shard& shard) {
@@ -406,6 +409,8 @@
   if (longest == shard.idle.end()) return false;
   Session* session = *longest;
   session->LeaveIdle();
+  session->is_counted = false;
+  connections_.fetch_sub(1);
   error_code ignored;
   session->socket.cancel(ignored);
   connection_counts_.closed_idle.fetch_add(1);
