Let a disturbance of the soak begin when its fault did

Cause: the begin of a disturbance was taken from its end and its planned length. On a busy machine the end comes late, and with it the begin, so that calls cut by a kill counted as cut in a calm span.

Evidence: in the logs of the failure the calls were sent through router 0 at 1237 to 1244 ms of the plan, which killed that router at 1323 ms; its log ends there.

Change: the soak notes when each fault begins. The check and its bounds stay.

--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -82,7 +82,10 @@
   auto next_end = ends.begin();
   while (next_end != ends.end()) {
     const auto now = steady_clock::now() - start;
-    for (; next != plan_.end() && next->at <= now; ++next) Begin(*next);
+    for (; next != plan_.end() && next->at <= now; ++next) {
+      begun_.try_emplace({next->at, next->lasts}, steady_clock::now());
+      Begin(*next);
+    }
     for (; next_end != ends.end() && next_end->at + next_end->lasts <= now;
          ++next_end) {
       End(*next_end);
@@ -195,8 +198,8 @@
   if (!IsPlannedWork(fault.kind)) {
     const Instant now = steady_clock::now();
     const bool is_link = fault.kind == FaultKind::kTargetLink;
-    record_.disturbances.push_back(
-        {now - fault.lasts - kTick, now, is_link ? TargetOf(fault).name : ""});
+    record_.disturbances.push_back({begun_.at({fault.at, fault.lasts}) - kTick,
+                                    now, is_link ? TargetOf(fault).name : ""});
   }
 }
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -3,7 +3,9 @@
 #ifndef BERYLLANE_TESTS_SOAK_SOAK_H_
 #define BERYLLANE_TESTS_SOAK_SOAK_H_
 
+#include <chrono>
 #include <cstdint>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -70,6 +72,10 @@
 
   PlanShape shape_;
   std::vector<Fault> plan_;
+  // When each fault began, by its planned begin and length.
+  std::map<std::pair<std::chrono::milliseconds, std::chrono::milliseconds>,
+           Instant>
+      begun_;
   LoopbackProxies proxies_;
   testing::PlatformFleet fleet_;
   std::vector<Member> routers_;
