--- a/src/fleet/fleet_node.cc
+++ b/src/fleet/fleet_node.cc
@@ -392,7 +392,9 @@
                  {{"signal", signal}, {"message", code ? code.message() : ""}});
   // No caller has connected before the start is complete.
   try {
-    if (is_started_) co_await Drain();
+    if (is_started_) {
+      co_await Drain();
+    }
   } catch (const std::exception& error) {
     net::ReportTaskFailure("drain", error.what());
   }
--- a/tests/src/unit-http_server.cpp
+++ b/tests/src/unit-http_server.cpp
@@ -117,7 +117,9 @@
   limits.max_connections = kMost;
   const Handler handler = [](Exchange& exchange) -> asio::awaitable<void> {
     const bool is_slow = Target(exchange.request()) == "/slow";
-    if (is_slow) co_await Sleep(std::chrono::seconds(2));
+    if (is_slow) {
+      co_await Sleep(std::chrono::seconds(2));
+    }
     Response response = MakeResponse(200, "", "text/plain");
     co_await exchange.Respond(std::move(response));
   };
--- a/tests/src/unit-spawn.cpp
+++ b/tests/src/unit-spawn.cpp
@@ -28,7 +28,9 @@
   int runs = 0;
   SpawnLoop(loop.get_executor(), "planted", [&]() -> asio::awaitable<void> {
     ++runs;
-    if (runs < 3) co_await Fail();
+    if (runs < 3) {
+      co_await Fail();
+    }
   });
   loop.run_for(std::chrono::seconds(10));
   EXPECT_EQ(runs, 3);
