Convert a char to a port number through unsigned char

The linter failed on x86-64, where char is signed: unit-fleet.cpp converted an id's first character to std::uint16_t (bugprone-signed-char-misuse). On arm64, where char is unsigned, the check doesn't apply. The ids are ASCII, so the test's port numbers are the same on both.

--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -381,7 +381,7 @@
     for (const char* id : {"a", "b"}) {
       TargetEntry entry = Entry(id, "s", 7);
       entry.start_time = 10;
-      entry.address.port = static_cast<std::uint16_t>(id[0]);
+      entry.address.port = static_cast<unsigned char>(id[0]);
       fleet_.SetTarget(entry);
     }
   }
