Keep the allowances of client accounts across all routers

Each account with a limit has a ledger at one router; the others lease units from it. A request over the limit is refused with 429, not run; one that no target ran is given back.

--- a/src/fleet/fleet_frontend.cc
+++ b/src/fleet/fleet_frontend.cc
@@ -25,6 +25,15 @@
 constexpr milliseconds kRetryAfter{200};
 // A queue that is too long for a request is not much shorter before then.
 constexpr milliseconds kQueueRetryAfter{500};
+// A used-up allowance is shared by the account's other requests; an earlier
+// return would mostly be refused again.
+constexpr milliseconds kAllowanceRetryAfter{500};
+// Maximum wait for units of an allowance, for the time in which routers notice
+// that the owner of its ledger has gone. A request with little time left waits
+// for a part of that time only.
+constexpr milliseconds kMaxLeaseWait{1600};
+constexpr int kLeaseWaitDivisor = 2;
+constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
 constexpr int kBadGateway = 502;
 
@@ -61,6 +70,7 @@
 FleetFrontend::FleetFrontend(const platform::Settings& settings,
                              net::HttpClient& client, Fleet& fleet,
                              Peers& peers, PartQuarantine& quarantine,
+                             allowance::AccountAllowances& allowances,
                              const StoreFollower& follower,
                              const net::LoopLag& loop_lag,
                              MetricRegistry& metrics)
@@ -69,6 +79,7 @@
       fleet_(fleet),
       peers_(peers),
       quarantine_(quarantine),
+      allowances_(allowances),
       follower_(follower),
       loop_lag_(loop_lag),
       placement_settings_{settings.availability_zone, settings.region,
@@ -159,7 +170,30 @@
   prompt.Abandon();
 }
 
+awaitable<ForwardResult> FleetFrontend::ChargeAndForward(
+    net::Exchange& exchange, const RoutedRequest& routed,
+    RunnerProtocol& protocol, std::optional<allowance::Charge>& charge) {
+  const Account* account = routed.account;
+  if (account != nullptr && account->allowance) {
+    const double cost = allowance::CostOf(*account->allowance, routed.request);
+    const auto wait =
+        std::min(kMaxLeaseWait, routed.TimeLeft() / kLeaseWaitDivisor);
+    auto charged = co_await allowances_.Acquire(*account, cost,
+                                                RuntimeClock::now() + wait);
+    if (!charged.ok()) {
+      ForwardResult refused;
+      refused.kind = ForwardResult::Kind::kFailed;
+      refused.error = charged.error();
+      co_return refused;
+    }
+    charge = std::move(charged.value());
+  }
+  exchange::RequestForwarder forwarder(exchange, client_, &protocol);
+  co_return co_await forwarder.Run();
+}
+
 awaitable<ForwardResult> FleetFrontend::Forward(net::Exchange& exchange,
+                                                const RoutedRequest& routed,
                                                 RunnerProtocol& protocol,
                                                 PromptRequest& prompt) {
   using net::asio::experimental::awaitable_operators::operator||;
@@ -171,13 +205,14 @@
   }
   const std::shared_ptr<void> registration(
       nullptr, [&](void*) { quarantine_.Leave(prompt); });
-  exchange::RequestForwarder forwarder(exchange, client_, &protocol);
-  auto raced =
-      co_await (forwarder.Run() || WaitForCallerToGo(exchange, prompt) ||
-                prompt.WaitForQuarantine());
+  std::optional<allowance::Charge> charge;
+  auto raced = co_await (ChargeAndForward(exchange, routed, protocol, charge) ||
+                         WaitForCallerToGo(exchange, prompt) ||
+                         prompt.WaitForQuarantine());
   switch (raced.index()) {
     case 0:
-      co_return std::move(std::get<0>(raced));
+      result = std::move(std::get<0>(raced));
+      break;
     case 1:
       result.kind = ForwardResult::Kind::kCallerGone;
       break;
@@ -188,6 +223,10 @@
           "targets",
           protocol.attempts() == 0 ? Verdict::kNotRun : Verdict::kMayHaveRun};
   }
+  const bool has_failed = result.kind == ForwardResult::Kind::kFailed;
+  const bool is_not_run = has_failed ? result.error.verdict == Verdict::kNotRun
+                                     : protocol.attempts() == 0;
+  if (charge && is_not_run) allowances_.Refund(*charge);
   co_return result;
 }
 
@@ -197,6 +236,13 @@
   if (error.id == ErrorId::kPromptQuarantined) {
     return quarantine_.TimeToTrial(prompt);
   }
+  if (error.id == ErrorId::kRateLimited) {
+    return SpreadRetryAfter(std::max<std::chrono::nanoseconds>(
+                                kAllowanceRetryAfter,
+                                allowances_.TimeToUnits(routed.account->name)),
+                            routed.TimeLeft(),
+                            HashBytes(routed.request.id).low);
+  }
   const std::chrono::nanoseconds to_capacity =
       TimeToCapacity(fleet_, routed.service->name, RuntimeClock::now());
   const bool is_overloaded = error.id == ErrorId::kOverloaded;
@@ -267,7 +313,7 @@
   PromptRequest prompt(routed.request, co_await net::asio::this_coro::executor);
   RunnerProtocol protocol(fleet_, peers_, quarantine_, placement_settings_,
                           metrics_, exchange.request(), routed, prompt);
-  ForwardResult result = co_await Forward(exchange, protocol, prompt);
+  ForwardResult result = co_await Forward(exchange, routed, protocol, prompt);
   LogOutcome(routed, protocol, result);
   switch (result.kind) {
     case ForwardResult::Kind::kResponse:
@@ -333,7 +379,7 @@
   const int status = StatusOf(error);
   net::Response answer = caller::ErrorResponse(error);
   answer.result(static_cast<unsigned>(status));
-  if (status == kUnavailable) {
+  if (status == kUnavailable || status == kTooManyRequests) {
     SetRetryAfter(answer, retry_after);
   }
   (error.verdict == Verdict::kNotRun ? metrics_.refused : metrics_.failed)
--- a/src/fleet/fleet_frontend.h
+++ b/src/fleet/fleet_frontend.h
@@ -5,8 +5,10 @@
 
 #include <chrono>
 #include <functional>
+#include <optional>
 
 #include "platform/settings.h"
+#include "src/allowance/account_allowances.h"
 #include "src/exchange/engine.h"
 #include "src/fleet/fleet.h"
 #include "src/fleet/part_quarantine.h"
@@ -23,6 +25,7 @@
   /// @pre all references outlive the frontend.
   FleetFrontend(const platform::Settings& settings, net::HttpClient& client,
                 Fleet& fleet, Peers& peers, PartQuarantine& quarantine,
+                allowance::AccountAllowances& allowances,
                 const StoreFollower& follower, const net::LoopLag& loop_lag,
                 MetricRegistry& metrics);
 
@@ -55,7 +58,13 @@
   // Forwards a request until it is answered, its caller has gone or one of its
   // prompt parts is quarantined.
   net::asio::awaitable<exchange::ForwardResult> Forward(
-      net::Exchange& exchange, RunnerProtocol& protocol, PromptRequest& prompt);
+      net::Exchange& exchange, const RoutedRequest& routed,
+      RunnerProtocol& protocol, PromptRequest& prompt);
+  // Charges the request to its account's allowance, if it has one, and forwards
+  // it. Sets `charge` once it is charged.
+  net::asio::awaitable<exchange::ForwardResult> ChargeAndForward(
+      net::Exchange& exchange, const RoutedRequest& routed,
+      RunnerProtocol& protocol, std::optional<allowance::Charge>& charge);
   // `retry_after` is the time after which a request that did not run may be
   // sent again.
   net::asio::awaitable<void> SendError(net::Exchange& exchange,
@@ -70,6 +79,7 @@
   Fleet& fleet_;
   Peers& peers_;
   PartQuarantine& quarantine_;
+  allowance::AccountAllowances& allowances_;
   const StoreFollower& follower_;
   const net::LoopLag& loop_lag_;
   PlacementSettings placement_settings_;
--- a/src/fleet/fleet_node.cc
+++ b/src/fleet/fleet_node.cc
@@ -39,6 +39,10 @@
   return {kLeaseLifetime, bounds.lease_gap, kLeaseMargin};
 }
 
+allowance::AllowanceTolerance ToleranceOf(const platform::Bounds& bounds) {
+  return {bounds.allowance_overage, bounds.allowance_slack};
+}
+
 Peers::Identity IdentityOf(const platform::Settings& settings) {
   const std::uint16_t bus_port = settings.first_internal_port;
   const auto relay_port = static_cast<std::uint16_t>(bus_port + 1);
@@ -105,16 +109,19 @@
       relay_server_(
           pool_.at(0), metrics_,
           [this](const std::string& message, const wire::ReplyFunction& reply) {
-            reply(follower_.relay().Serve(message));
+            auto lease = allowances_.Serve(message);
+            reply(lease ? *lease : follower_.relay().Serve(message));
           }),
       peers_(pool_.at(0), store_, fleet_, IdentityOf(settings_), metrics_),
+      allowances_(pool_.at(0), relay_client_, peers_, fleet_, settings_.host_id,
+                  metrics_),
       quarantine_(pool_.at(0), store_, fleet_, peers_, settings_.host_id,
                   metrics_),
       cache_follower_(client_, fleet_, peers_, metrics_),
       rollout_(store_, client_, fleet_, peers_, settings_.host_id,
                LeaseTiming(settings_.bounds), metrics_),
-      frontend_(settings_, client_, fleet_, peers_, quarantine_, follower_,
-                loop_lag_, metrics_),
+      frontend_(settings_, client_, fleet_, peers_, quarantine_, allowances_,
+                follower_, loop_lag_, metrics_),
       caller_server_(
           pool_, CallerServerLimits(settings_),
           [this](net::Exchange& e) { return frontend_.Handle(e); },
@@ -136,6 +143,7 @@
         OnLeaving(runner, notice);
       });
   rollout_.set_weights_lifetime(settings_.bounds.old_weights_lifetime);
+  allowances_.set_tolerance(ToleranceOf(settings_.bounds));
   UpdateRetryOptions();
   RegisterGauges();
 }
@@ -307,6 +315,8 @@
   net::SpawnLoop(executor, "loop-lag", [this] { return loop_lag_.Run(); });
   net::SpawnLoop(executor, "store", [this] { return follower_.Run(); });
   net::SpawnLoop(executor, "peers", [this] { return peers_.Run(); });
+  net::SpawnLoop(executor, "allowances",
+                 [this] { return allowances_.WatchOwnership(); });
   net::SpawnLoop(executor, "quarantine", [this] { return quarantine_.Run(); });
   net::SpawnLoop(executor, "caches", [this] { return cache_follower_.Run(); });
   net::SpawnLoop(executor, "rollout", [this] { return rollout_.Run(); });
@@ -451,6 +461,7 @@
     settings_.store_address = read.value().store_address;
     fleet_.set_drain_timeout(settings_.bounds.drain_timeout);
     rollout_.set_weights_lifetime(settings_.bounds.old_weights_lifetime);
+    allowances_.set_tolerance(ToleranceOf(settings_.bounds));
     store_.set_address(settings_.store_address);
     telemetry::Log(
         Level::kInfo, telemetry::event::kReloaded,
--- a/src/fleet/fleet_node.h
+++ b/src/fleet/fleet_node.h
@@ -9,6 +9,7 @@
 
 #include "platform/settings.h"
 #include "platform/store_client.h"
+#include "src/allowance/account_allowances.h"
 #include "src/fleet/cache_follower.h"
 #include "src/fleet/fleet.h"
 #include "src/fleet/fleet_frontend.h"
@@ -78,6 +79,7 @@
   StoreFollower follower_;
   wire::PeerServer relay_server_;
   Peers peers_;
+  allowance::AccountAllowances allowances_;
   PartQuarantine quarantine_;
   CacheFollower cache_follower_;
   WeightsRollout rollout_;
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -13,6 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "beryllane/limit/allowance.h"
 #include "src/net/address.h"
 
 namespace beryllane::fleet {
@@ -70,6 +71,21 @@
   std::optional<EngineProperties> engine;
 };
 
+/// What the units of an allowance count.
+enum class AllowanceUnit {
+  kRequests,
+  /// Prompt tokens and maximum output tokens.
+  kTokens,
+};
+
+/// The allowance of an account, for all routers together.
+struct Allowance {
+  AllowanceLimit limit;
+  AllowanceUnit unit = AllowanceUnit::kRequests;
+  /// Tokens that a request counts as if it does not state its tokens.
+  double default_tokens = 0;
+};
+
 /// A client account and the credentials that authenticate it.
 struct Account {
   std::string name;
@@ -78,6 +94,8 @@
   std::optional<int> priority;
   /// Does not share cached prompt parts with other accounts.
   bool is_isolated = false;
+  /// None without a limit.
+  std::optional<Allowance> allowance;
 };
 
 /// Size and time limits for callers.
--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -276,6 +276,31 @@
       });
 }
 
+std::optional<std::string> Peers::OwnerOf(const Hash128& key) const {
+  const auto now = RuntimeClock::now();
+  std::uint64_t highest =
+      placement::RendezvousScore(key, HashBytes(self_.host_id).low);
+  const Router* owner = nullptr;
+  for (const auto& [host, router] : routers_) {
+    if (!router.IsAlive(now)) continue;
+    const std::uint64_t score =
+        placement::RendezvousScore(key, HashBytes(host).low);
+    if (score <= highest) continue;
+    highest = score;
+    owner = &router;
+  }
+  if (owner == nullptr) return std::nullopt;
+  return owner->relay_address;
+}
+
+AllowanceMembers Peers::Members() const {
+  const auto now = RuntimeClock::now();
+  const auto alive = std::count_if(
+      routers_.begin(), routers_.end(),
+      [now](const auto& router) { return router.second.IsAlive(now); });
+  return {static_cast<int>(alive) + 1, static_cast<int>(known_hosts_.size())};
+}
+
 void Peers::ExcludeReader(const std::string& reader) {
   for (auto& [host, router] : routers_) {
     if (router.relay_address == reader) {
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -11,6 +11,8 @@
 #include <string>
 #include <vector>
 
+#include "beryllane/hash/hash.h"
+#include "beryllane/limit/allowance.h"
 #include "platform/store_client.h"
 #include "src/fleet/fleet.h"
 #include "src/net/loop_lag.h"
@@ -67,6 +69,12 @@
   /// Rendezvous hashing selects one live router of the target's zone, or of the
   /// whole fleet if the zone has none. @pre none.
   bool FollowsCacheOf(const Runner& runner) const;
+  /// Relay address of the live router that rendezvous hashing ranks first for
+  /// `key`; `nullopt` if it is this router. Routers may disagree for a short
+  /// time. @pre none. Complexity: linear in the number of routers.
+  std::optional<std::string> OwnerOf(const Hash128& key) const;
+  /// The routers that this one hears, and all that may be running. @pre none.
+  AllowanceMembers Members() const;
   /// Excludes a reader for some time because it did not answer or its records
   /// are outdated. @pre none.
   void ExcludeReader(const std::string& reader);
--- a/src/telemetry/log.h
+++ b/src/telemetry/log.h
@@ -49,6 +49,7 @@
 inline constexpr std::string_view kReloaded = "reloaded";
 inline constexpr std::string_view kTargetLeaving = "target-leaving";
 inline constexpr std::string_view kTargetLimit = "target-limit";
+inline constexpr std::string_view kAllowanceLedger = "allowance-ledger";
 inline constexpr std::string_view kUnprovenRefusal = "unproven-refusal";
 inline constexpr std::string_view kTargetPaused = "target-paused";
 inline constexpr std::string_view kPauseEnded = "pause-ended";
--- a/tests/src/unit-platform_codec.cpp
+++ b/tests/src/unit-platform_codec.cpp
@@ -196,6 +196,29 @@
   EXPECT_TRUE(config.accounts[0].is_isolated);
 }
 
+// Guards against an account that is limited though its configuration names no
+// limit, or a rate of zero, which stands for none.
+TEST(PlatformConfig, AllowancesAreDecoded) {
+  const auto record = DecodeOperatorRecord(
+      "config", R"({"version":7,"routes":[],"services":[],"tenants":[
+        {"name":"a","apiKeys":[],"ratePerS":1589680,"burst":18000,
+         "unit":"token_count","plainTokens":200},
+        {"name":"b","apiKeys":[],"ratePerS":2.5},
+        {"name":"c","apiKeys":[],"ratePerS":0,"burst":5},
+        {"name":"d","apiKeys":[]}]})");
+  ASSERT_TRUE(record.ok()) << record.error().message;
+  const auto& accounts = std::get<fleet::FleetConfig>(record.value()).accounts;
+  ASSERT_TRUE(accounts[0].allowance);
+  EXPECT_EQ(accounts[0].allowance->limit, (AllowanceLimit{1589680, 18000}));
+  EXPECT_EQ(accounts[0].allowance->unit, fleet::AllowanceUnit::kTokens);
+  EXPECT_EQ(accounts[0].allowance->default_tokens, 200);
+  ASSERT_TRUE(accounts[1].allowance);
+  EXPECT_EQ(accounts[1].allowance->limit, (AllowanceLimit{2.5, 0}));
+  EXPECT_EQ(accounts[1].allowance->unit, fleet::AllowanceUnit::kRequests);
+  EXPECT_FALSE(accounts[2].allowance);
+  EXPECT_FALSE(accounts[3].allowance);
+}
+
 TEST(PlatformConfig, WrongRecordsAreErrorsAndOtherKeysAreNot) {
   EXPECT_FALSE(DecodeOperatorRecord("config", "{\"version\":").ok());
   EXPECT_FALSE(DecodeOperatorRecord("config", "{\"version\":1}").ok());
