--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -63,12 +63,15 @@
 
 double Runner::EstimatedLoad(RuntimeClock::time_point now) {
   const auto running = static_cast<double>(peer_running.Total(now));
+  return own_running + std::max(running, OthersReported(now));
+}
+
+double Runner::OthersReported(RuntimeClock::time_point now) const {
   const double others =
       std::max<double>(0, reported_running - own_running_at_report);
   const double age_ms =
       std::chrono::duration<double, std::milli>(now - reported_at).count();
-  return own_running +
-         std::max(running, others * std::exp2(-age_ms / kReportHalfLifeMs));
+  return others * std::exp2(-age_ms / kReportHalfLifeMs);
 }
 
 double Runner::PendingPrefillTokens(RuntimeClock::time_point now) {
@@ -76,9 +79,12 @@
          static_cast<double>(peer_prefill_tokens.Total(now));
 }
 
-void Runner::RecordLoad(int running, int waiting,
+void Runner::RecordLoad(std::optional<int> running, std::optional<int> waiting,
                         RuntimeClock::time_point now) {
-  reported_running = running + waiting;
+  const int load = running.value_or(0) + waiting.value_or(0);
+  const bool is_whole = running && waiting;
+  if (!is_whole && load - own_running <= OthersReported(now)) return;
+  reported_running = load;
   own_running_at_report = own_running;
   reported_at = now;
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -99,8 +99,14 @@
   /// Estimated number of prompt tokens that wait for prefill at the target.
   /// @pre none.
   double PendingPrefillTokens(RuntimeClock::time_point now);
-  /// Records the load reported with an answer. @pre none.
-  void RecordLoad(int running, int waiting, RuntimeClock::time_point now);
+  /// Estimated number of requests of other routers at the target, from its last
+  /// report, which loses weight with age. @pre none.
+  double OthersReported(RuntimeClock::time_point now) const;
+  /// Records the load reported with an answer. If one of the figures is
+  /// missing, the other is a lower bound of the load, which only raises the
+  /// estimate. @pre figures are not negative.
+  void RecordLoad(std::optional<int> running, std::optional<int> waiting,
+                  RuntimeClock::time_point now);
   /// Marks the target as suspect because it did not answer. Each further
   /// failure in a row extends the time. @pre none.
   void Suspect(RuntimeClock::time_point now);
--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -331,7 +331,7 @@
     return OnUnprovenRefusal(facts, target);
   }
   runner.last_received_at = now;
-  if (facts.running) runner.RecordLoad(*facts.running, *facts.waiting, now);
+  runner.RecordLoad(facts.running, facts.waiting, now);
   RecordPause(fleet_, runner, facts, {"request", routed_.request.id});
   // A refusal without a limit does not show that the limit has ended.
   if (facts.requests_per_second || facts.is_sealed) {
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -117,6 +117,28 @@
   EXPECT_FALSE(fleet.AvailableTargets("s")[0]->cache.Contains(1));
 }
 
+// With one figure missing, the sum of both is unknown. Taking the missing one
+// for 0 would make a full target look idle.
+TEST(FleetState, ALoadWithOneFigureOnlyRaisesTheEstimate) {
+  const PausedClock paused;
+  const auto now = RuntimeClock::now();
+  Runner runner;
+  runner.RecordLoad(6, 3, now);
+  EXPECT_EQ(runner.EstimatedLoad(now), 9);
+  runner.RecordLoad(std::nullopt, 0, now);
+  EXPECT_EQ(runner.EstimatedLoad(now), 9);
+  runner.RecordLoad(8, std::nullopt, now);
+  EXPECT_EQ(runner.EstimatedLoad(now), 9);
+  runner.RecordLoad(std::nullopt, std::nullopt, now);
+  EXPECT_EQ(runner.EstimatedLoad(now), 9);
+  runner.RecordLoad(12, std::nullopt, now);
+  EXPECT_EQ(runner.EstimatedLoad(now), 12);
+  runner.RecordLoad(std::nullopt, 15, now);
+  EXPECT_EQ(runner.EstimatedLoad(now), 15);
+  runner.RecordLoad(1, 0, now);
+  EXPECT_EQ(runner.EstimatedLoad(now), 1);
+}
+
 TEST(FleetState, NewWeightsEmptyTheCacheAndNeverFall) {
   Runner runner;
   runner.RaiseVersion("m", 3);
--- a/tests/src/unit-platform_codec.cpp
+++ b/tests/src/unit-platform_codec.cpp
@@ -299,6 +299,61 @@
   EXPECT_FALSE(DecodeAnswer(failed.base()).is_not_run);
 }
 
+// A header with another number of items than three was dropped as a whole, and
+// an unreadable item counted as 0.
+TEST(PlatformAnswers, ReadableFiguresOfALoadAreKeptByPosition) {
+  struct Case {
+    const char* text;
+    std::optional<int> running;
+    std::optional<int> waiting;
+    std::optional<int> pace_percent;
+  };
+  constexpr auto kNone = std::nullopt;
+  for (const Case& expected : {Case{"3,1,8", 3, 1, kNone},
+                               Case{"3,1,8,250", 3, 1, 250},
+                               Case{" 3 , 1 , 8 , 100 , 7 , x", 3, 1, 100},
+                               Case{"3", 3, kNone, kNone},
+                               Case{"3,1", 3, 1, kNone},
+                               Case{",1,8", kNone, 1, kNone},
+                               Case{",,,70", kNone, kNone, 70},
+                               Case{"3,,8,250", 3, kNone, 250},
+                               Case{"3,1,,250,", 3, 1, 250},
+                               Case{"x,1,y,250", kNone, 1, 250},
+                               Case{"-1,1,8,100", kNone, 1, 100},
+                               Case{"3,-1,8,100", 3, kNone, 100},
+                               Case{"3,1.5,8,1", 3, kNone, 1},
+                               Case{"3,1,8,10000", 3, 1, 10000},
+                               Case{"3,1,8,0", 3, 1, kNone},
+                               Case{"3,1,8,10001", 3, 1, kNone},
+                               Case{"3,1,8,-250", 3, 1, kNone},
+                               Case{"3,1,8,fast", 3, 1, kNone},
+                               Case{"99999999999,1,8,250", kNone, 1, 250},
+                               Case{"2147483647,1,8,250", kNone, 1, 250},
+                               Case{"", kNone, kNone, kNone},
+                               Case{",,,", kNone, kNone, kNone}}) {
+    net::Response response = net::MakeResponse(200, "", "text/plain");
+    response.set("Instance-Load", expected.text);
+    const TargetAnswer answer = DecodeAnswer(response.base());
+    EXPECT_EQ(answer.running, expected.running) << expected.text;
+    EXPECT_EQ(answer.waiting, expected.waiting) << expected.text;
+    EXPECT_EQ(answer.pace_percent, expected.pace_percent) << expected.text;
+  }
+  const net::Response without = net::MakeResponse(200, "", "text/plain");
+  EXPECT_FALSE(DecodeAnswer(without.base()).running);
+}
+
+RC_GTEST_PROP(PlatformAnswers, AnyLoadHeaderGivesFiguresInRange, ()) {
+  const auto text = *rc::gen::container<std::string>(
+      rc::gen::elementOf(std::string("0123456789,,, -x")));
+  net::Response response = net::MakeResponse(200, "", "text/plain");
+  response.set("Instance-Load", text);
+  const TargetAnswer answer = DecodeAnswer(response.base());
+  RC_ASSERT(answer.running.value_or(0) >= 0);
+  RC_ASSERT(answer.waiting.value_or(0) >= 0);
+  RC_ASSERT(answer.pace_percent.value_or(1) >= 1);
+  RC_ASSERT(answer.pace_percent.value_or(1) <= 10000);
+}
+
 TEST(PlatformAnswers, ALimitIsADecimalNumberThatIsNotNegative) {
   net::Response response = net::MakeResponse(200, "", "text/plain");
   EXPECT_FALSE(DecodeAnswer(response.base()).requests_per_second);
