Place requests by the pace of targets that report it

Cause: predicted waits and prefill costs assumed one pace for all targets, so a slow or momentarily slow target got as many prompts as a fast one.

Change: a Runner has a TargetPace, which ends with the incarnation. Successes that carry the fourth load figure feed it with the time from sending to the head and the tokens that had to be processed; where a copy was named, only the request's own tokens count. Predicted waits, expected cache times and the prefix policy use it while the target reported the figure within 120 s. The policy adds the time of the request's own tokens relative to 40 tokens per ms, so costs are unchanged where nothing is reported.

The faster of two idle targets gets each of 50 uncached prompts; a target at 250% gets 20 of 70 requests (2 either way) for 100 ms and half of them afterwards.

--- a/include/beryllane/placement/prefix_policy.h
+++ b/include/beryllane/placement/prefix_policy.h
@@ -29,6 +29,8 @@
   std::chrono::duration<double, std::milli> wait{};
   /// Leading shared tokens that the runner is known to have cached.
   std::uint32_t held_tokens = 0;
+  /// Prefill throughput of this runner, if it is known; positive.
+  std::optional<double> prefill_tokens_per_ms;
   /// From the router.
   Distance distance = Distance::kSameZone;
   std::uint32_t zone = 0;
@@ -48,6 +50,8 @@
   Hash128 rendezvous_key;
   /// Total tokens of the shared parts.
   std::uint32_t shared_tokens = 0;
+  /// Tokens of the part that is specific to the request, which no runner holds.
+  std::uint32_t own_tokens = 0;
   std::uint64_t kv_bytes_per_token = 0;
   double link_mbps = 100000;
 };
@@ -55,6 +59,7 @@
 /// Weights of the cost function. Costs are expressed as equivalent waiting
 /// time.
 struct PrefixWeights {
+  /// Prefill throughput of runners whose own is unknown.
   double prefill_tokens_per_ms = kPrefillTokensPerMs;
   /// Added to the prefill time per thousand shared tokens held elsewhere.
   double recompute_ms_per_thousand_tokens = 200;
@@ -87,7 +92,9 @@
 /// The candidate that
 /// rendezvous hashing ranks first is the preferred runner of the deepest shared
 /// part. If no candidate is known to hold any of the prompt, the preferred
-/// runner is assumed to hold it, because all routers send it there. @pre one of
+/// runner is assumed to hold it, because all routers send it there. The prefill
+/// of the request's own tokens counts at a runner with a known throughput by
+/// the time that it takes more, or less, than at the others. @pre one of
 /// `candidates` is eligible and not held back. Thread-safe. Complexity: n log n
 /// plus n times the number of zones.
 PrefixDecision ChooseByPrefix(const std::vector<PrefixCandidate>& candidates,
--- a/src/coordination/prefix_policy.cc
+++ b/src/coordination/prefix_policy.cc
@@ -119,6 +119,14 @@
     } else if (candidate.distance == Distance::kSameRegion) {
       cost += weights.same_region_penalty_ms;
     }
+    const double tokens_per_ms =
+        candidate.prefill_tokens_per_ms.value_or(weights.prefill_tokens_per_ms);
+    // Relative to the other runners, so that costs do not change where no
+    // throughput is known.
+    if (candidate.prefill_tokens_per_ms) {
+      cost += query.own_tokens / tokens_per_ms -
+              query.own_tokens / weights.prefill_tokens_per_ms;
+    }
     // The source of a copy is the nearest of the candidates that are known to
     // hold the most. The preferred runner is the source only if no candidate
     // is known to hold more than this one.
@@ -134,7 +142,7 @@
     const double missing = query.shared_tokens - assumed;
     if (missing > 0) {
       const double prefill_cost =
-          missing / weights.prefill_tokens_per_ms +
+          missing / tokens_per_ms +
           missing / 1000 * weights.recompute_ms_per_thousand_tokens;
       const double copy_cost =
           source && source_held > assumed
@@ -142,7 +150,7 @@
                     (source_held - assumed) / 1000 *
                         weights.copy_ms_per_thousand_tokens +
                     std::max(0.0, query.shared_tokens - source_held) /
-                        weights.prefill_tokens_per_ms
+                        tokens_per_ms
               : prefill_cost;
       const double cost_factor = rank == 0 ? weights.preferred_cost_factor : 1;
       cost += cost_factor * std::min(prefill_cost, copy_cost);
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "beryllane/hash/hash.h"
+#include "beryllane/placement/prefix_policy.h"
 #include "src/fleet/cache_scope.h"
 
 namespace beryllane::fleet {
@@ -89,6 +90,22 @@
   reported_at = now;
 }
 
+void Runner::RecordPace(int percent, RuntimeClock::time_point now) {
+  pace_reported_at = now;
+  pace.OnMomentaryPace(percent, now);
+}
+
+double Runner::PrefillTokensPerMs(RuntimeClock::time_point now) const {
+  return HasPace(now) ? pace.PrefillTokensPerMs(now)
+                      : placement::kPrefillTokensPerMs;
+}
+
+double Runner::StepTimeFactor(RuntimeClock::time_point now) const {
+  return HasPace(now)
+             ? pace.StepTime(now) / placement::TargetPace::kDefaultStepTime
+             : 1;
+}
+
 void Runner::Suspect(RuntimeClock::time_point now) {
   suspect_until =
       now + kFirstSuspectTime * (1 << std::min(failures_in_row, kMaxDoublings));
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -20,6 +20,7 @@
 #include "beryllane/limit/peer_activity.h"
 #include "beryllane/limit/retry_window.h"
 #include "beryllane/limit/shared_limit.h"
+#include "beryllane/placement/pace.h"
 #include "platform/request_codec.h"
 #include "src/fleet/desired_weights.h"
 #include "src/fleet/model.h"
@@ -70,6 +71,12 @@
   SharedLimit limit;
   PartCache cache;
   StartWait start_wait;
+  /// A target that reported its pace this recently is placed by its estimate.
+  static constexpr std::chrono::seconds kPaceReportLifetime{120};
+  /// Estimate of the target's pace; in effect only while it reports its pace.
+  placement::TargetPace pace;
+  /// When the target last reported its pace.
+  std::optional<RuntimeClock::time_point> pace_reported_at;
   /// Weights that the target or a peer reported and that the list of targets
   /// does not show yet, by model.
   struct ReportedWeights {
@@ -107,6 +114,19 @@
   /// estimate. @pre figures are not negative.
   void RecordLoad(std::optional<int> running, std::optional<int> waiting,
                   RuntimeClock::time_point now);
+  /// Records the momentary pace reported with an answer. @pre none.
+  void RecordPace(int percent, RuntimeClock::time_point now);
+  /// Whether the target reported its pace lately, so that its estimate is in
+  /// effect. @pre none.
+  bool HasPace(RuntimeClock::time_point now) const {
+    return pace_reported_at && now - *pace_reported_at < kPaceReportLifetime;
+  }
+  /// Prompt tokens per ms that the target processes now; the figure common to
+  /// all targets unless `HasPace`. @pre none.
+  double PrefillTokensPerMs(RuntimeClock::time_point now) const;
+  /// Time of a decode step relative to the usual one; 1 unless `HasPace`. @pre
+  /// none.
+  double StepTimeFactor(RuntimeClock::time_point now) const;
   /// Marks the target as suspect because it did not answer. Each further
   /// failure in a row extends the time. @pre none.
   void Suspect(RuntimeClock::time_point now);
--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -4,7 +4,6 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "beryllane/placement/prefix_policy.h"
 #include "beryllane/placement/rendezvous.h"
 #include "src/net/spawn.h"
 #include "src/telemetry/log.h"
@@ -516,7 +515,7 @@
       continue;
     }
     const std::chrono::duration<double, std::milli> reading(
-        tokens / placement::kPrefillTokensPerMs);
+        tokens / runner->PrefillTokensPerMs(now));
     const auto ready_at =
         now + std::chrono::duration_cast<milliseconds>(reading);
     runner->cache.Touch(part.at(1), tokens, ready_at);
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -25,7 +25,8 @@
 // longer than the recent waits, as load may grow.
 constexpr milliseconds kMinStartWait{1000};
 constexpr double kStartWaitFactor = 1.25;
-// Additional time of a runner's decoding step per request in its batch.
+// Additional time of a runner's decoding step per request in its batch, at the
+// usual step time.
 constexpr double kWaitMsPerRequest = 1.5;
 // Wait at a plain service per request above its number of slots.
 constexpr double kServiceWaitMsPerQueued = 25;
@@ -100,8 +101,9 @@
 // Predicted wait for the start of a run at a model runner.
 Millis PredictedWait(Runner& runner, RuntimeClock::time_point now) {
   const Millis prefill(runner.PendingPrefillTokens(now) /
-                       placement::kPrefillTokensPerMs);
-  return prefill + Millis(kWaitMsPerRequest * runner.EstimatedLoad(now));
+                       runner.PrefillTokensPerMs(now));
+  return prefill + Millis(kWaitMsPerRequest * runner.StepTimeFactor(now) *
+                          runner.EstimatedLoad(now));
 }
 
 // Whether the limit of a target or the wait at it rules the target out.
@@ -242,6 +244,9 @@
   for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
     query.shared_tokens += parts[i].tokens;
   }
+  if (input.request.prompt_tokens > query.shared_tokens) {
+    query.own_tokens = input.request.prompt_tokens - query.shared_tokens;
+  }
   std::vector<placement::PrefixCandidate> candidates;
   candidates.reserve(runners.size());
   Locations locations(settings);
@@ -249,6 +254,9 @@
     placement::PrefixCandidate candidate;
     candidate.id_hash = runner->id_hash;
     candidate.wait = PredictedWait(*runner, now);
+    if (runner->HasPace(now)) {
+      candidate.prefill_tokens_per_ms = runner->PrefillTokensPerMs(now);
+    }
     if (runner->full_until > now) candidate.wait += kFullPenalty;
     for (std::size_t i = 0; i < prompt_keys.keys.size() &&
                             runner->cache.Contains(prompt_keys.keys[i]);
@@ -280,6 +288,7 @@
   choice.cache_salt = prompt_keys.salt;
   const std::uint32_t held = candidates[decision.index].held_tokens;
   choice.held_tokens = held;
+  choice.own_tokens = query.own_tokens;
   choice.uncached_tokens = input.request.prompt_tokens > held
                                ? input.request.prompt_tokens - held
                                : 0;
--- a/src/fleet/placement.h
+++ b/src/fleet/placement.h
@@ -42,6 +42,8 @@
   RuntimeClock::time_point not_before;
   /// Predicted prompt tokens for which the runner must run a prefill.
   std::uint32_t uncached_tokens = 0;
+  /// Prompt tokens of the part that is specific to the request.
+  std::uint32_t own_tokens = 0;
   /// Tokens of shared parts that the runner has cached.
   std::uint32_t held_tokens = 0;
   /// Cost of the chosen target, as an equivalent wait in milliseconds.
--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "beryllane/placement/prefix_policy.h"
 #include "fmt/format.h"
 #include "src/fleet/pause_record.h"
 #include "src/telemetry/log.h"
@@ -212,6 +211,10 @@
   const auto now = RuntimeClock::now();
   prompt_.OnSent(choice_.runner, now);
   choice_.runner->start_wait.OnSent(now);
+  // Without this request, which `Choose` counted.
+  load_at_send_ = choice_.runner->EstimatedLoad(now) - 1;
+  is_pace_reported_ = false;
+  last_event_at_.reset();
   is_waiting_ = true;
   is_withdrawn_ = false;
   has_failure_answer_ = false;
@@ -332,6 +335,7 @@
   }
   runner.last_received_at = now;
   runner.RecordLoad(facts.running, facts.waiting, now);
+  if (facts.pace_percent) runner.RecordPace(*facts.pace_percent, now);
   RecordPause(fleet_, runner, facts, {"request", routed_.request.id});
   // A refusal without a limit does not show that the limit has ended.
   if (facts.requests_per_second || facts.is_sealed) {
@@ -351,6 +355,7 @@
     prompt_.OnHead(now);
     RecordOlderRun(facts);
     OnBegan();
+    if (facts.pace_percent) RecordFirstEvent(now);
     if (ContinuesStream(answer) && !relay_) relay_.emplace(std::nullopt);
     runner.ClearSuspicion();
     metrics_.first_byte.Record(now - routed_.started);
@@ -381,6 +386,37 @@
   return {Classification::Kind::kRelay, {}};
 }
 
+void RunnerProtocol::RecordFirstEvent(RuntimeClock::time_point now) {
+  // A resumed stream may continue from a state that the target saved.
+  const bool is_resumed = relay_ && relay_->last_id();
+  if (!routed_.service->engine || is_resumed) return;
+  // How many of the shared tokens a copy saved is unknown.
+  const std::uint32_t tokens =
+      choice_.fetch_from ? std::min(choice_.own_tokens, choice_.uncached_tokens)
+                         : choice_.uncached_tokens;
+  choice_.runner->pace.OnFirstEvent(tokens, now - prompt_.sent_at(),
+                                    load_at_send_, now);
+  is_pace_reported_ = true;
+}
+
+void RunnerProtocol::RecordEvents(std::string_view bytes,
+                                  RuntimeClock::time_point now) {
+  if (!is_pace_reported_) return;
+  constexpr std::string_view kEventEnd = "\n\n";
+  int events = 0;
+  for (auto at = bytes.find(kEventEnd); at != std::string_view::npos;
+       at = bytes.find(kEventEnd, at + kEventEnd.size())) {
+    ++events;
+  }
+  if (events == 0) return;
+  Runner& runner = *choice_.runner;
+  if (last_event_at_) {
+    runner.pace.OnEventGap((now - *last_event_at_) / events,
+                           runner.EstimatedLoad(now), now);
+  }
+  last_event_at_ = now;
+}
+
 void RunnerProtocol::ApplyRefusal(const platform::TargetAnswer& answer) {
   constexpr int kMisdirectedRequest = 421;
   const auto now = RuntimeClock::now();
@@ -507,7 +543,7 @@
   const auto now = RuntimeClock::now();
   const auto ready_at = now + duration_cast<milliseconds>(Millis(
                                   choice_.runner->PendingPrefillTokens(now) /
-                                  placement::kPrefillTokensPerMs));
+                                  choice_.runner->PrefillTokensPerMs(now)));
   for (std::size_t i = 0; i < keys.size(); ++i) {
     const std::uint32_t tokens = routed_.request.parts[i].tokens;
     if (!choice_.runner->cache.Contains(keys[i])) {
@@ -537,9 +573,11 @@
 }
 
 Result<std::string> RunnerProtocol::Feed(std::string bytes) {
-  choice_.runner->last_received_at = RuntimeClock::now();
+  const auto now = RuntimeClock::now();
+  choice_.runner->last_received_at = now;
   quarantine_.OnProgress(prompt_);
   if (!relay_) return bytes;
+  RecordEvents(bytes, now);
   return relay_->Feed(bytes);
 }
 
--- a/src/fleet/runner_protocol.h
+++ b/src/fleet/runner_protocol.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "beryllane/metrics/registry.h"
@@ -127,6 +128,11 @@
   // Reverts `ExpectCachedParts` after a failed attempt.
   void RetractExpectedParts();
   void LogChoice() const;
+  // Records the time that a target that reports its pace took for the prompt.
+  // Called when its success begins, before the uncached tokens are reset.
+  void RecordFirstEvent(RuntimeClock::time_point now);
+  // Records the time since the last events of a target that reports its pace.
+  void RecordEvents(std::string_view bytes, RuntimeClock::time_point now);
   // Records what a refusal as not run says about the target.
   void ApplyRefusal(const platform::TargetAnswer& answer);
   // Records a run on weights older than the desired ones.
@@ -168,6 +174,12 @@
   bool is_waiting_ = false;
   // Whether the attempt ended because its run had not begun in time.
   bool is_withdrawn_ = false;
+  // Requests at the target when this one was sent.
+  double load_at_send_ = 0;
+  // Whether the success of the current attempt reported the target's pace.
+  bool is_pace_reported_ = false;
+  // When events of the current attempt last arrived.
+  std::optional<RuntimeClock::time_point> last_event_at_;
   // Keys of the parts that the chosen runner is expected to cache.
   std::vector<std::uint64_t> expected_parts_;
   // Number of attempts that may have reached a target; those after the first
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -2,9 +2,11 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <cmath>
 #include <random>
 
 #include "beryllane/freshness/freshness.h"
+#include "beryllane/hash/hash.h"
 #include "beryllane/limit/retry_window.h"
 #include "beryllane/placement/prefix_policy.h"
 #include "beryllane/placement/rendezvous.h"
@@ -579,6 +581,172 @@
   EXPECT_EQ(targets[1]->limit.Demand(now), 0);
 }
 
+// Gives a target's estimate enough samples without waits.
+void FeedPace(Runner& runner, double tokens_per_ms) {
+  constexpr std::uint32_t kTokens = 8000;
+  constexpr double kFixedMs = 4;
+  const auto elapsed = std::chrono::duration_cast<std::chrono::nanoseconds>(
+      std::chrono::duration<double, std::milli>(kTokens / tokens_per_ms +
+                                                kFixedMs));
+  for (int i = 0; i < 8; ++i) {
+    runner.pace.OnFirstEvent(kTokens, elapsed, 0, RuntimeClock::now());
+  }
+}
+
+TEST_F(FleetPlacement, OfTwoIdleTargetsTheFasterGetsTheUncachedPrompt) {
+  for (const char* id : {"a", "b"}) fleet_.SetTarget(Entry(id));
+  request_.parts = {{"own", 8000}};
+  request_.prompt_tokens = 8000;
+  for (const char* fast : {"a", "b"}) {
+    for (const auto& [id, runner] : fleet_.targets()) {
+      FeedPace(*runner, id == fast ? 69.4 : 28.6);
+      runner->RecordPace(100, RuntimeClock::now());
+    }
+    // The preferred target differs between the requests.
+    for (int i = 0; i < 50; ++i) {
+      request_.id = "r" + std::to_string(i);
+      EXPECT_EQ(Choose().value().runner->entry.id, fast) << i;
+    }
+    for (const auto& [id, runner] : fleet_.targets()) runner->pace.Reset();
+  }
+}
+
+// Two targets share their prompts evenly; while one reports that its work takes
+// 2.5 times as long, its share falls to that of its pace, 1 to 2.5.
+TEST_F(FleetPlacement, AMomentarilySlowTargetGetsLessFor100Ms) {
+  constexpr int kRequests = 70;
+  constexpr std::uint32_t kTokens = 2000;
+  for (const char* id : {"a", "b"}) fleet_.SetTarget(Entry(id));
+  Runner& slow = *fleet_.targets().at("a");
+  request_.parts = {{"own", kTokens}};
+  request_.prompt_tokens = kTokens;
+  const auto place_all = [&] {
+    int at_slow = 0;
+    for (int i = 0; i < kRequests; ++i) {
+      request_.id = "r" + std::to_string(i);
+      const auto choice = Choose();
+      Runner& runner = *choice.value().runner;
+      runner.own_pending_prefill_tokens += choice.value().uncached_tokens;
+      ++runner.own_running;
+      if (&runner == &slow) ++at_slow;
+    }
+    for (const auto& [id, runner] : fleet_.targets()) {
+      runner->own_pending_prefill_tokens = 0;
+      runner->own_running = 0;
+    }
+    return at_slow;
+  };
+  for (const auto& [id, runner] : fleet_.targets()) {
+    runner->RecordPace(100, RuntimeClock::now());
+  }
+  EXPECT_NEAR(place_all(), kRequests / 2.0, 2);
+  slow.RecordPace(250, RuntimeClock::now());
+  EXPECT_NEAR(place_all(), kRequests / 3.5, 2);
+  RuntimeClock::Advance(milliseconds(99));
+  EXPECT_NEAR(place_all(), kRequests / 3.5, 2);
+  RuntimeClock::Advance(milliseconds(1));
+  EXPECT_NEAR(place_all(), kRequests / 2.0, 2);
+}
+
+TEST_F(FleetPlacement, TheWaitAtALoadedTargetGrowsWithItsStepTime) {
+  for (const char* id : {"a", "b"}) fleet_.SetTarget(Entry(id));
+  for (const auto& [id, runner] : fleet_.targets()) {
+    runner->own_running = 10;
+    for (int i = 0; i < 64; ++i) {
+      runner->pace.OnEventGap(milliseconds(id == "a" ? 9 : 3), 1,
+                              RuntimeClock::now());
+    }
+    runner->RecordPace(100, RuntimeClock::now());
+  }
+  for (int i = 0; i < 50; ++i) {
+    request_.parts = {{"own", 1000}};
+    request_.id = "r" + std::to_string(i);
+    EXPECT_EQ(Choose().value().runner->entry.id, "b") << i;
+  }
+}
+
+TEST(FleetState, APaceIsInEffectWhileItIsReported) {
+  const PausedClock paused;
+  Fleet fleet;
+  TargetEntry entry = Entry("i");
+  entry.start_time = 10;
+  fleet.SetTarget(entry);
+  const auto runner = fleet.targets().at("i");
+  FeedPace(*runner, 110);
+  EXPECT_FALSE(runner->HasPace(RuntimeClock::now()));
+  EXPECT_EQ(runner->PrefillTokensPerMs(RuntimeClock::now()), 40);
+  runner->RecordPace(100, RuntimeClock::now());
+  EXPECT_NEAR(runner->PrefillTokensPerMs(RuntimeClock::now()), 110, 1);
+  // Another list entry of the incarnation keeps it, a new incarnation does not.
+  entry.sequence = 1;
+  fleet.SetTarget(entry);
+  EXPECT_EQ(fleet.targets().at("i"), runner);
+  entry.start_time = 11;
+  fleet.SetTarget(entry);
+  EXPECT_FALSE(fleet.targets().at("i")->HasPace(RuntimeClock::now()));
+  fleet.targets().at("i")->RecordPace(100, RuntimeClock::now());
+  EXPECT_EQ(fleet.targets().at("i")->PrefillTokensPerMs(RuntimeClock::now()),
+            40);
+  RuntimeClock::Advance(Runner::kPaceReportLifetime);
+  EXPECT_FALSE(runner->HasPace(RuntimeClock::now()));
+  EXPECT_EQ(runner->PrefillTokensPerMs(RuntimeClock::now()), 40);
+}
+
+// The digest of the decisions was recorded on commit 3defe2b, before targets
+// could report a pace. Deployments whose targets report none must see no
+// change.
+TEST_F(FleetPlacement, WithoutReportsOfPaceDecisionsAreAsBeforeThem) {
+  constexpr int kFleets = 400;
+  constexpr std::uint64_t kRecordedDigest = 3478697110190632343;
+  std::mt19937 random(20261206);
+  const auto draw = [&random](std::uint32_t bound) {
+    return static_cast<std::uint32_t>(random()) % bound;
+  };
+  std::uint64_t digest = 0;
+  for (int i = 0; i < kFleets; ++i) {
+    fleet_ = Fleet();
+    request_.id = "r" + std::to_string(i);
+    request_.parts = {{"p" + std::to_string(draw(9)), 100 + draw(6000)},
+                      {"q" + std::to_string(draw(9)), 100 + draw(2000)},
+                      {"own", 50 + draw(1500)}};
+    request_.prompt_tokens = 0;
+    for (const auto& part : request_.parts) {
+      request_.prompt_tokens += part.tokens;
+    }
+    const auto now = RuntimeClock::now();
+    const auto keys = PartKeys(request_, CacheSalt(1, ""));
+    const std::uint32_t targets = 1 + draw(12);
+    for (std::uint32_t t = 0; t < targets; ++t) {
+      TargetEntry entry = Entry("t" + std::to_string(t));
+      entry.availability_zone = std::string("z") + "abcd"[draw(4)];
+      fleet_.SetTarget(entry);
+      Runner& runner = *fleet_.targets().at(entry.id);
+      runner.own_running = static_cast<int>(draw(10));
+      runner.own_pending_prefill_tokens = draw(2) * draw(20000);
+      runner.RecordLoad(static_cast<int>(draw(24)), static_cast<int>(draw(5)),
+                        now);
+      if (draw(8) == 0) runner.full_until = now + milliseconds(50);
+      // Estimates without reports have no effect.
+      FeedPace(runner, 5);
+      const std::uint32_t held = draw(4);
+      if (held >= 1) runner.cache.Touch(keys[0], request_.parts[0].tokens);
+      if (held >= 2) runner.cache.Touch(keys[1], request_.parts[1].tokens);
+    }
+    const auto choice = Choose();
+    ASSERT_TRUE(choice.ok());
+    const PlacementDecision& decision = choice.value();
+    const std::string fetched =
+        decision.fetch_source ? decision.fetch_source->entry.id : "";
+    // Rounded, as machines differ in the last bits of a product and sum.
+    const std::string text =
+        decision.runner->entry.id + ' ' + fetched + ' ' +
+        std::to_string(decision.uncached_tokens) + ' ' +
+        std::to_string(std::llround(decision.cost_ms * 1000));
+    digest = HashBytes(std::to_string(digest) + text).low;
+  }
+  EXPECT_EQ(digest, kRecordedDigest);
+}
+
 TEST(FleetEvents, WholeEventsOnceAndInOrder) {
   EventRelay relay(std::nullopt);
   EXPECT_EQ(relay.Feed("id: 1\ndata: a\n\nid: 2\nda").value(),
