Show the estimated pace of targets and describe it

Cause: nothing told an operator by which pace targets are placed.

Change: four gauges, whatever the number of targets: those that report their pace, and the minimum, mean and maximum of their prompt tokens per ms; all 0 where none reports it.

No test reads the gauges yet.

--- a/src/fleet/fleet_node.cc
+++ b/src/fleet/fleet_node.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <numeric>
 #include <utility>
 #include <vector>
 
@@ -202,6 +203,7 @@
             [](const auto& t) { return t.second->limit.is_set(); }));
       });
   RegisterPauseGauges();
+  RegisterPaceGauges();
   metrics_.AddCallbackGauge(
       "beryllane_log_dropped_total",
       "Log lines dropped because their reader was slow",
@@ -266,6 +268,49 @@
       [this] { return static_cast<double>(fleet_.pause_counts().invalid); });
 }
 
+void FleetNode::RegisterPaceGauges() {
+  const auto estimates = [this] {
+    const auto now = RuntimeClock::now();
+    std::vector<double> values;
+    for (const auto& [id, runner] : fleet_.targets()) {
+      if (runner->HasPace(now)) {
+        values.push_back(runner->PrefillTokensPerMs(now));
+      }
+    }
+    return values;
+  };
+  metrics_.AddCallbackGauge(
+      "beryllane_fleet_pace_targets", "Targets that report their pace",
+      [estimates] { return static_cast<double>(estimates().size()); });
+  metrics_.AddCallbackGauge(
+      "beryllane_fleet_pace_tokens_per_ms_min",
+      "Lowest estimate of the prompt tokens per ms of a target that reports "
+      "its pace; 0 if none does",
+      [estimates] {
+        const auto values = estimates();
+        return values.empty() ? 0
+                              : *std::min_element(values.begin(), values.end());
+      });
+  metrics_.AddCallbackGauge(
+      "beryllane_fleet_pace_tokens_per_ms_mean",
+      "Mean of the estimates over the targets that report their pace; 0 if "
+      "none does",
+      [estimates] {
+        const auto values = estimates();
+        const double sum = std::accumulate(values.begin(), values.end(), 0.0);
+        return values.empty() ? 0 : sum / static_cast<double>(values.size());
+      });
+  metrics_.AddCallbackGauge(
+      "beryllane_fleet_pace_tokens_per_ms_max",
+      "Highest estimate of the prompt tokens per ms of a target that reports "
+      "its pace; 0 if none does",
+      [estimates] {
+        const auto values = estimates();
+        return values.empty() ? 0
+                              : *std::max_element(values.begin(), values.end());
+      });
+}
+
 void FleetNode::UpdateRetryOptions() {
   RetryWindowOptions options;
   options.ratio = settings_.bounds.retry_ratio * kBudgetShare;
--- a/src/fleet/fleet_node.h
+++ b/src/fleet/fleet_node.h
@@ -53,6 +53,7 @@
   // An answer first announced that a target leaves.
   void OnLeaving(Runner& runner, const platform::TargetNotice& notice);
   void RegisterPauseGauges();
+  void RegisterPaceGauges();
 
   platform::Settings settings_;
   std::string settings_path_;
