--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "beryllane/hash/hash.h"
+#include "beryllane/placement/prefix_policy.h"
 #include "src/fleet/cache_scope.h"
 
 namespace beryllane::fleet {
@@ -63,12 +64,15 @@
 
 double Runner::EstimatedLoad(RuntimeClock::time_point now) {
   const auto running = static_cast<double>(peer_running.Total(now));
+  return own_running + std::max(running, OthersReported(now));
+}
+
+double Runner::OthersReported(RuntimeClock::time_point now) const {
   const double others =
       std::max<double>(0, reported_running - own_running_at_report);
   const double age_ms =
       std::chrono::duration<double, std::milli>(now - reported_at).count();
-  return own_running +
-         std::max(running, others * std::exp2(-age_ms / kReportHalfLifeMs));
+  return others * std::exp2(-age_ms / kReportHalfLifeMs);
 }
 
 double Runner::PendingPrefillTokens(RuntimeClock::time_point now) {
@@ -76,13 +80,32 @@
          static_cast<double>(peer_prefill_tokens.Total(now));
 }
 
-void Runner::RecordLoad(int running, int waiting,
+void Runner::RecordLoad(std::optional<int> running, std::optional<int> waiting,
                         RuntimeClock::time_point now) {
-  reported_running = running + waiting;
+  const int load = running.value_or(0) + waiting.value_or(0);
+  const bool is_whole = running && waiting;
+  if (!is_whole && load - own_running <= OthersReported(now)) return;
+  reported_running = load;
   own_running_at_report = own_running;
   reported_at = now;
 }
 
+void Runner::RecordPace(int percent, RuntimeClock::time_point now) {
+  pace_reported_at = now;
+  pace.OnMomentaryPace(percent, now);
+}
+
+double Runner::PrefillTokensPerMs(RuntimeClock::time_point now) const {
+  return HasPace(now) ? pace.PrefillTokensPerMs(now)
+                      : placement::kPrefillTokensPerMs;
+}
+
+double Runner::StepTimeFactor(RuntimeClock::time_point now) const {
+  return HasPace(now)
+             ? pace.StepTime(now) / placement::TargetPace::kDefaultStepTime
+             : 1;
+}
+
 void Runner::Suspect(RuntimeClock::time_point now) {
   suspect_until =
       now + kFirstSuspectTime * (1 << std::min(failures_in_row, kMaxDoublings));
