Place requests by the shares of the zones

Placement weighed the distance to a target by a fixed penalty, so routers left the zone for small differences between waits, all at once. Where the targets of a service report their pace, the penalty is now raised by 45 ms for requests that stay and is the link's round trip for those whose hash maps to the other zone. Fleet::set_reports_pace switches it on for a service; without it, the same 200 requests are placed as before (ZoneShares.WithoutReportsOfPacePlacementIsAsBefore).

--- a/include/beryllane/placement/prefix_policy.h
+++ b/include/beryllane/placement/prefix_policy.h
@@ -33,6 +33,8 @@
   Distance distance = Distance::kSameZone;
   std::uint32_t zone = 0;
   std::uint32_t region = 0;
+  /// Replaces the penalty for the distance if set.
+  std::optional<std::chrono::duration<double, std::milli>> distance_penalty;
   /// Cost of answering with older weights.
   std::chrono::duration<double, std::milli> stale_weights_penalty{};
   /// Whether it may be chosen; otherwise it only serves as a source of copies.
--- a/src/coordination/prefix_policy.cc
+++ b/src/coordination/prefix_policy.cc
@@ -114,7 +114,9 @@
     double cost = candidate.wait.count() +
                   candidate.stale_weights_penalty.count() +
                   weights.rank_penalty_ms * static_cast<double>(rank);
-    if (candidate.distance == Distance::kOtherRegion) {
+    if (candidate.distance_penalty) {
+      cost += candidate.distance_penalty->count();
+    } else if (candidate.distance == Distance::kOtherRegion) {
       cost += weights.other_region_penalty_ms;
     } else if (candidate.distance == Distance::kSameRegion) {
       cost += weights.same_region_penalty_ms;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -27,6 +27,7 @@
 #include "src/fleet/refusal_naming.h"
 #include "src/fleet/start_wait.h"
 #include "src/fleet/target_gate.h"
+#include "src/fleet/zone_balance.h"
 #include "src/net/http_client.h"
 
 namespace beryllane::fleet {
@@ -171,6 +172,19 @@
   PeerActivity& peer_activity() { return peer_activity_; }
   const PeerActivity& peer_activity() const { return peer_activity_; }
 
+  /// Whether a target of the service has reported its momentary pace. @pre
+  /// none.
+  bool reports_pace(const std::string& service) const {
+    return pace_services_.contains(service);
+  }
+  /// A target of the service reported its momentary pace. @pre none.
+  void set_reports_pace(const std::string& service) {
+    pace_services_.insert(service);
+  }
+  /// The shares of requests that leave this router's zone. Placement, which
+  /// does not change the fleet otherwise, updates them. @pre none.
+  ZoneBalance& zone_balance() const { return zone_balance_; }
+
   /// Sets the desired weights of a model, read now; returns false if the
   /// version is not newer. `complete_until` as in `DesiredWeightsState::Add`.
   /// @pre none.
@@ -231,6 +245,8 @@
   std::map<std::string, double> mean_work_;
   RetryWindowOptions retry_options_;
   PauseCounts pause_counts_;
+  std::set<std::string> pace_services_;
+  mutable ZoneBalance zone_balance_;
 };
 
 /// Returns the route with the host name and the longest prefix of the path;
--- a/src/fleet/fleet_node.cc
+++ b/src/fleet/fleet_node.cc
@@ -379,6 +379,7 @@
     }
     was_ready = is_ready;
     UpdateRetryOptions();
+    fleet_.zone_balance().Export(metrics_);
     telemetry::FlushLog();
     client_.CloseExpired();
     store_http_client_.CloseExpired();
--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -488,6 +488,8 @@
     router.relay_address = from.at(2);
     router.registration_rank = from.at(3);
     router.last_received_at = now;
+    fleet_.zone_balance().OnRouterHeard(router.index, router.availability_zone,
+                                        now);
     if (loop_lag_ != nullptr && loop_lag_->IsBusy()) {
       unread_hints_.Add();
     } else {
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -32,6 +32,10 @@
 // Cost of sending a small request to another region, in latency and in billed
 // bytes.
 constexpr double kServiceOtherRegionCostMs = 26;
+// Added to the penalty for leaving the zone where the shares of the zones keep
+// a request at home: the cost of crossing regions once more. Small differences
+// between waits then do not bypass the shares, and large ones still do.
+constexpr double kStayPenaltyMs = 45;
 constexpr Millis kFullPenalty{150};
 // Maximum wait for another request to complete the prefill of shared parts. A
 // second prefill would take as long and would delay all other requests of the
@@ -40,10 +44,6 @@
 
 using Runners = std::vector<std::shared_ptr<Runner>>;
 
-std::uint32_t ShortHash(const std::string& text) {
-  return static_cast<std::uint32_t>(HashBytes(text).low);
-}
-
 // The locations of targets as the router sees them. A zone is looked up once.
 class Locations {
  public:
@@ -70,8 +70,8 @@
     const std::string& region =
         listed == settings_.region_of_zone.end() ? zone : listed->second;
     Location location;
-    location.zone = ShortHash(zone);
-    location.region = ShortHash(region);
+    location.zone = ZoneHash(zone);
+    location.region = ZoneHash(region);
     if (zone != settings_.availability_zone) {
       location.distance = region == settings_.region ? Distance::kSameRegion
                                                      : Distance::kOtherRegion;
@@ -104,6 +104,20 @@
   return prefill + Millis(kWaitMsPerRequest * runner.EstimatedLoad(now));
 }
 
+// Predicted wait at an instance of a plain service.
+Millis ServiceWait(Runner& runner, RuntimeClock::time_point now) {
+  const double queued = runner.EstimatedLoad(now) + 1 - runner.entry.slots;
+  return Millis(std::max(0.0, queued) * kServiceWaitMsPerQueued);
+}
+
+// Penalty for the distance to a target where the zone of the request is chosen.
+Millis LeavingPenalty(const ZoneChoice& choice,
+                      const Locations::Location& location, double penalty) {
+  if (location.distance == Distance::kSameZone) return Millis(0);
+  if (choice.away == location.zone) return choice.round_trip;
+  return Millis(penalty + kStayPenaltyMs);
+}
+
 // Whether the limit of a target or the wait at it rules the target out.
 bool IsRuledOut(Runner& runner, const Fleet& fleet, const PlacementInput& input,
                 RuntimeClock::time_point now) {
@@ -155,9 +169,43 @@
   Runners passed_over;
 };
 
-Choice ChooseForService(const Tier& tier, const PlacementSettings& settings,
+// The zone that a request should be served in; `nullopt` where the service's
+// targets do not report their pace and distance alone decides.
+std::optional<ZoneChoice> ZoneOf(const Fleet& fleet,
+                                 const PlacementSettings& settings,
+                                 const PlacementInput& input,
+                                 RuntimeClock::time_point now) {
+  const std::string& service = input.service.name;
+  if (!fleet.reports_pace(service)) return std::nullopt;
+  ZoneBalance& balance = fleet.zone_balance();
+  const ZoneMap zones{settings.availability_zone, settings.region,
+                      settings.region_of_zone};
+  if (balance.IsDue(service, now)) {
+    std::vector<ZoneTarget> targets;
+    for (const auto& runner : fleet.AvailableTargets(service)) {
+      const bool is_usable = runner->suspect_until <= now &&
+                             runner->switching_until <= now &&
+                             runner->gate->pause().MayPlace(now);
+      ZoneTarget target;
+      target.zone = &runner->entry.availability_zone;
+      target.slots = is_usable ? runner->entry.slots : 0;
+      target.load = runner->EstimatedLoad(now);
+      target.wait = duration_cast<nanoseconds>(input.service.engine
+                                                   ? PredictedWait(*runner, now)
+                                                   : ServiceWait(*runner, now));
+      target.last_received_at = runner->last_received_at;
+      targets.push_back(target);
+    }
+    balance.Update(service, zones, targets, now);
+  }
+  return balance.ZoneOf(service, HashBytes(input.request.id).low, input.goal);
+}
+
+Choice ChooseForService(const Fleet& fleet, const PlacementSettings& settings,
+                        const PlacementInput& input, const Tier& tier,
                         RuntimeClock::time_point now) {
   Choice choice;
+  const auto zone = ZoneOf(fleet, settings, input, now);
   PlacementDecision& best = choice.decision;
   Locations locations(settings);
   std::vector<std::pair<double, std::shared_ptr<Runner>>> limited;
@@ -166,9 +214,11 @@
     const double queued = runner->EstimatedLoad(now) + 1 - runner->entry.slots;
     double cost = std::max(0.0, queued) * kServiceWaitMsPerQueued +
                   runner->EstimatedLoad(now);
-    if (locations.Of(*runner).distance == Distance::kOtherRegion) {
-      cost += kServiceOtherRegionCostMs;
-    }
+    const Locations::Location& location = locations.Of(*runner);
+    const double penalty = location.distance == Distance::kOtherRegion
+                               ? kServiceOtherRegionCostMs
+                               : 0;
+    cost += zone ? LeavingPenalty(*zone, location, penalty).count() : penalty;
     if (runner->full_until > now) cost += kFullPenalty.count();
     if (tier.is_limited[i]) {
       limited.emplace_back(cost, runner);
@@ -220,6 +270,13 @@
   return may_copy ? source : nullptr;
 }
 
+double PenaltyOf(const Locations::Location& location,
+                 const placement::PrefixWeights& weights) {
+  return location.distance == Distance::kOtherRegion
+             ? weights.other_region_penalty_ms
+             : weights.same_region_penalty_ms;
+}
+
 // @pre a target of `group` is not limited.
 Choice ChooseForEngine(const Fleet& fleet, const PlacementSettings& settings,
                        const PlacementInput& input, Tier group,
@@ -245,6 +302,7 @@
   std::vector<placement::PrefixCandidate> candidates;
   candidates.reserve(runners.size());
   Locations locations(settings);
+  const auto zone = ZoneOf(fleet, settings, input, now);
   for (const auto& runner : runners) {
     placement::PrefixCandidate candidate;
     candidate.id_hash = runner->id_hash;
@@ -257,6 +315,10 @@
     }
     const Locations::Location& location = locations.Of(*runner);
     candidate.distance = location.distance;
+    if (zone) {
+      candidate.distance_penalty =
+          LeavingPenalty(*zone, location, PenaltyOf(location, weights));
+    }
     candidate.zone = location.zone;
     candidate.region = location.region;
     candidate.is_eligible = candidates.size() < eligible;
@@ -394,7 +456,7 @@
   if (tier.is_usable()) {
     choice = input.service.engine
                  ? ChooseByVersion(fleet, settings, input, tier, now)
-                 : ChooseForService(tier, settings, now);
+                 : ChooseForService(fleet, settings, input, tier, now);
   }
   if (choice) {
     for (const auto& runner : choice->passed_over) {
--- a/src/fleet/placement.h
+++ b/src/fleet/placement.h
@@ -65,6 +65,8 @@
   bool is_large = true;
   /// When the request must be answered.
   RuntimeClock::time_point deadline = RuntimeClock::time_point::max();
+  /// Desired time to the answer, or to the first event of a stream.
+  std::chrono::nanoseconds goal{0};
 };
 
 /// Chooses the target with the lowest cost among those whose rate limits allow
--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -166,9 +166,10 @@
                  Verdict::kNotRun};
   }
   if (auto refusal = quarantine_.FindQuarantined(prompt_)) return *refusal;
-  const PlacementInput input{*routed_.service, routed_.account, routed_.request,
-                             tried_targets_,   routed_.started, is_large_,
-                             routed_.deadline};
+  const PlacementInput input{*routed_.service, routed_.account,
+                             routed_.request,  tried_targets_,
+                             routed_.started,  is_large_,
+                             routed_.deadline, routed_.route->latency_target};
   const auto asked = RuntimeClock::now();
   auto choice = ChooseTarget(fleet_, placement_settings_, input, asked);
   metrics_.choice.Record(RuntimeClock::now() - asked);
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -374,6 +374,94 @@
   EXPECT_EQ(choice.value().fetch_from, a->entry.address);
 }
 
+// Two zones of one region, of which the own one has more requests than slots.
+class ZoneShares : public FleetPlacement {
+ protected:
+  ZoneShares() {
+    placement_settings_.region_of_zone["zb"] = "ra";
+    for (const std::string id : {"a1", "a2", "b1", "b2"}) {
+      TargetEntry entry = Entry(id, "s", 7);
+      entry.availability_zone = id[0] == 'a' ? "za" : "zb";
+      fleet_.SetTarget(entry);
+    }
+    // The wait at home exceeds the cost of leaving, but the requests that the
+    // shares keep at home stay within the raised penalty.
+    for (const char* id : {"a1", "a2"}) RunnerOf(id).own_running = 20;
+    request_.parts = {{"cc", 1000}};
+  }
+  Runner& RunnerOf(const std::string& id) { return *fleet_.targets().at(id); }
+  // Ids of the targets of a number of requests, in order.
+  std::vector<std::string> PlacedIds(int count) {
+    std::vector<std::string> ids;
+    for (int i = 0; i < count; ++i) {
+      request_.id = "r" + std::to_string(i);
+      const auto choice = Choose();
+      ids.push_back(choice.ok() ? choice.value().runner->entry.id : "");
+    }
+    return ids;
+  }
+  static int CountAway(const std::vector<std::string>& ids) {
+    return static_cast<int>(
+        std::count_if(ids.begin(), ids.end(),
+                      [](const auto& id) { return id.starts_with('b'); }));
+  }
+  // Lets the shares change while anything is heard of the targets.
+  void PassTime(int steps) {
+    for (int i = 0; i < steps; ++i) {
+      RuntimeClock::Advance(milliseconds(200));
+      for (const auto& [id, runner] : fleet_.targets()) {
+        runner->last_received_at = RuntimeClock::now();
+      }
+      Choose();
+    }
+  }
+};
+
+// Guards against a change of placement in deployments whose targets do not
+// report their pace: the wait of the own zone alone decides, at any time.
+TEST_F(ZoneShares, WithoutReportsOfPacePlacementIsAsBefore) {
+  const auto before = PlacedIds(200);
+  // 30 ms of wait exceed the penalty of 2 ms for leaving the zone.
+  EXPECT_EQ(CountAway(before), 200);
+  fleet_.set_reports_pace("another service");
+  PassTime(10);
+  EXPECT_EQ(PlacedIds(200), before);
+  EXPECT_EQ(fleet_.zone_balance().ShareOf("s", "zb"), 0);
+}
+
+TEST_F(ZoneShares, RequestsLeaveAccordingToTheShares) {
+  fleet_.set_reports_pace("s");
+  EXPECT_EQ(CountAway(PlacedIds(200)), 0);
+  PassTime(2);
+  const double share = fleet_.zone_balance().ShareOf("s", "zb");
+  EXPECT_GT(share, 0);
+  const auto placed = PlacedIds(400);
+  EXPECT_NEAR(CountAway(placed) / 400.0, share, 0.08);
+  EXPECT_EQ(PlacedIds(400), placed);
+}
+
+// Guards against requests for a zone that is cut off.
+TEST_F(ZoneShares, AZoneThatIsNotHeardGetsNothing) {
+  fleet_.set_reports_pace("s");
+  PassTime(3);
+  EXPECT_GT(CountAway(PlacedIds(200)), 0);
+  RuntimeClock::Advance(seconds(1));
+  EXPECT_EQ(CountAway(PlacedIds(200)), 0);
+}
+
+TEST_F(ZoneShares, TheGaugesShowEachZone) {
+  fleet_.set_reports_pace("s");
+  PassTime(3);
+  MetricRegistry metrics;
+  fleet_.zone_balance().Export(metrics);
+  const std::string text = metrics.Serialize();
+  const std::string series =
+      "beryllane_fleet_zone_share_permille{zone=\"zb\"} ";
+  ASSERT_NE(text.find(series), std::string::npos);
+  EXPECT_GT(std::stoi(text.substr(text.find(series) + series.size())), 0);
+  EXPECT_EQ(text.find("zone=\"za\""), std::string::npos);
+}
+
 // Targets that asked for a pause.
 class PausedTargets : public FleetPlacement {
  protected:
