--- a/tests/src/unit-admission_queue.cpp
+++ b/tests/src/unit-admission_queue.cpp
@@ -451,5 +451,340 @@
   }
 }
 
+// Load plays: calls to a pool of equal servers, through a queue or in order of
+// arrival. Rates are a tenth of those of the deployment kerbside. A call holds
+// a server for its prefill at 110 tokens per ms and 6.08 ms per token out, and
+// meets its goal if its prefill ends in time. The 14 servers are 0.8 used.
+
+struct CallKind {
+  int urgency;
+  double per_second;
+  double tokens;
+  milliseconds prefill;
+  milliseconds service;
+  milliseconds goal;
+  milliseconds deadline;
+  double worth;
+  double late_worth;
+};
+constexpr std::array<CallKind, 2> kCallKinds{
+    {{0, 181, 884, milliseconds(8), milliseconds(360), milliseconds(400),
+      milliseconds(15'000), 3.6, 0.42},
+     {2, 327, 9200, milliseconds(84), milliseconds(145), milliseconds(1000),
+      milliseconds(5000), 1.3, 0.61}}};
+constexpr std::size_t kChat = 0;
+constexpr std::size_t kLong = 1;
+constexpr int kAccounts = 16;
+constexpr std::uint64_t kBusyAccount = 1;
+
+// What is out of the ordinary, from `kCauseStart` for `duration`.
+struct Cause {
+  seconds duration;
+  double long_factor = 1;
+  double account_factor = 1;
+  // Share of the servers.
+  double servers_lost = 0;
+};
+constexpr milliseconds kCauseStart{5000};
+constexpr seconds kAfterCause{20};
+// Servers, and parts of the deployment's rates that they serve.
+struct Pool {
+  int servers;
+  double rate_factor;
+};
+constexpr Pool kWholePool{140, 1};
+constexpr Pool kSmallPool{14, 0.1};
+
+struct Call {
+  std::size_t kind = 0;
+  std::uint64_t account = 0;
+  milliseconds arrived{0};
+};
+
+struct Tally {
+  std::array<double, 2> worth{};
+  std::array<double, 2> full_worth{};
+  double others_worth = 0;  // Calls of all but `kBusyAccount`.
+  double others_full_worth = 0;
+  std::vector<milliseconds> chat_latencies;
+  int attempts = 0;
+  // Without an answer at the deadline, or refused when less than a tenth of the
+  // attempt's time was left.
+  int ended_at_deadline = 0;
+  int refused = 0;
+  milliseconds last_miss{0};  // Arrival of the last call that missed its goal.
+
+  double Share(std::size_t kind) const {
+    return worth[kind] / full_worth[kind];
+  }
+  double OthersShare() const { return others_worth / others_full_worth; }
+  double AtDeadline() const {
+    return static_cast<double>(ended_at_deadline) / attempts;
+  }
+  // A call without an answer has waited for ever.
+  milliseconds ChatLatency(double quantile) {
+    std::ranges::sort(chat_latencies);
+    const auto last = static_cast<double>(chat_latencies.size() - 1);
+    return chat_latencies[static_cast<std::size_t>(quantile * last)];
+  }
+};
+
+class LoadPlay {
+ public:
+  LoadPlay(const Pool& pool, const Cause& cause, bool in_order_of_arrival,
+           unsigned seed)
+      : pool_(pool),
+        cause_(cause),
+        in_order_of_arrival_(in_order_of_arrival),
+        queue_({.work_per_second = 110'000}),
+        random_(seed) {}
+
+  Tally Run() {
+    MakeCalls();
+    const milliseconds end = CauseEnd() + kAfterCause;
+    // Lets the last calls end.
+    for (; now_ < end + seconds(16); now_ += milliseconds(1)) {
+      while (!ends_.empty() && ends_.top() <= now_) ends_.pop();
+      while (next_call_ < calls_.size() && calls_[next_call_].arrived <= now_) {
+        Start(next_call_++, now_);
+      }
+      while (!retries_.empty() && retries_.begin()->first <= now_) {
+        const std::size_t call = retries_.begin()->second;
+        retries_.erase(retries_.begin());
+        Start(call, now_);
+      }
+      if (in_order_of_arrival_) {
+        StepInOrder();
+      } else {
+        StepQueue();
+      }
+    }
+    for (const Call& call : calls_) {
+      const CallKind& kind = kCallKinds[call.kind];
+      tally_.full_worth[call.kind] += kind.worth;
+      if (call.account != kBusyAccount) tally_.others_full_worth += kind.worth;
+    }
+    while (tally_.chat_latencies.size() < chat_calls_) {
+      tally_.chat_latencies.push_back(milliseconds::max());
+    }
+    return tally_;
+  }
+  milliseconds CauseEnd() const { return kCauseStart + cause_.duration; }
+
+ private:
+  struct Attempt {
+    std::size_t call;
+    milliseconds started;
+  };
+
+  bool IsOn(milliseconds time) const {
+    return time >= kCauseStart && time < CauseEnd();
+  }
+  std::size_t Room() const {
+    const int lost =
+        static_cast<int>(std::ceil(pool_.servers * cause_.servers_lost));
+    const int servers = pool_.servers - (IsOn(now_) ? lost : 0);
+    const int room = servers - static_cast<int>(ends_.size());
+    return static_cast<std::size_t>(std::max(room, 0));
+  }
+  void MakeCalls() {
+    std::uniform_real_distribution<double> point;
+    for (std::uint64_t account = 0; account < kAccounts; ++account) {
+      // A few accounts are large: shares as 1, 1/2, 1/3 and so on.
+      const double share = 1 / (static_cast<double>(account) + 1) / 3.3807;
+      for (std::size_t kind = 0; kind < kCallKinds.size(); ++kind) {
+        for (milliseconds time{0}; time < CauseEnd() + kAfterCause;
+             time += milliseconds(1)) {
+          double per_ms =
+              kCallKinds[kind].per_second * pool_.rate_factor * share / 1000;
+          if (IsOn(time) && kind == kLong) per_ms *= cause_.long_factor;
+          if (IsOn(time) && account == kBusyAccount) {
+            per_ms *= cause_.account_factor;
+          }
+          if (point(random_) < per_ms) calls_.push_back({kind, account, time});
+        }
+      }
+    }
+    std::ranges::sort(calls_, {}, &Call::arrived);
+    chat_calls_ = static_cast<std::size_t>(
+        std::ranges::count(calls_, kChat, &Call::kind));
+  }
+  milliseconds DeadlineOf(const Call& call) const {
+    return call.arrived + kCallKinds[call.kind].deadline;
+  }
+  void Start(std::size_t index, milliseconds now) {
+    ++tally_.attempts;
+    const Call& call = calls_[index];
+    if (in_order_of_arrival_) {
+      line_.push_back(index);
+      return;
+    }
+    const CallKind& kind = kCallKinds[call.kind];
+    const std::uint64_t id = attempts_.size();
+    attempts_.push_back({index, now});
+    const TimePoint origin = At(0);
+    const auto result = queue_.Offer({.id = id,
+                                      .urgency = kind.urgency,
+                                      .account = call.account,
+                                      .kind = call.kind,
+                                      .arrived = origin + now,
+                                      .goal = origin + call.arrived + kind.goal,
+                                      .deadline = origin + DeadlineOf(call),
+                                      .work = kind.tokens,
+                                      .bytes = 1000},
+                                     Room(), origin + now);
+    for (const auto& refusal : result.displaced) Refused(refusal);
+    if (IsAdmitted(result)) Serve(index);
+    if (const auto* refuse = RefusalIn(result)) {
+      Refused({id, refuse->retry_after});
+    }
+  }
+  void StepQueue() {
+    const auto result = queue_.Next(Room(), At(0) + now_);
+    for (const std::uint64_t id : result.admitted) Serve(attempts_[id].call);
+    for (const auto& refusal : result.refused) Refused(refusal);
+  }
+  void StepInOrder() {
+    while (!line_.empty()) {
+      const Call& call = calls_[line_.front()];
+      if (DeadlineOf(call) <= now_) {
+        ++tally_.ended_at_deadline;
+        Missed(call);
+      } else if (Room() > 0) {
+        Serve(line_.front());
+      } else {
+        return;
+      }
+      line_.pop_front();
+    }
+  }
+  void Serve(std::size_t index) {
+    const Call& call = calls_[index];
+    const CallKind& kind = kCallKinds[call.kind];
+    const milliseconds end = now_ + kind.service;
+    // The caller leaves at its deadline, and the server ends the work.
+    ends_.push(std::min(end, DeadlineOf(call)));
+    const milliseconds latency = now_ + kind.prefill - call.arrived;
+    if (end > DeadlineOf(call)) {
+      ++tally_.ended_at_deadline;
+      Missed(call);
+      return;
+    }
+    if (latency > kind.goal) Missed(call);
+    const double worth = latency <= kind.goal ? kind.worth : kind.late_worth;
+    tally_.worth[call.kind] += worth;
+    if (call.account != kBusyAccount) tally_.others_worth += worth;
+    if (call.kind == kChat) tally_.chat_latencies.push_back(latency);
+  }
+  void Refused(const AdmissionQueue::Refusal& refusal) {
+    const Attempt& attempt = attempts_[refusal.id];
+    const Call& call = calls_[attempt.call];
+    const milliseconds deadline = DeadlineOf(call);
+    ++tally_.refused;
+    if (attempt.started < now_ &&
+        10 * (deadline - now_) < deadline - attempt.started) {
+      ++tally_.ended_at_deadline;
+    }
+    const auto retry_after =
+        std::chrono::ceil<milliseconds>(refusal.retry_after);
+    if (now_ + retry_after + kCallKinds[call.kind].service <= deadline) {
+      retries_.emplace(now_ + retry_after, attempt.call);
+    } else {
+      Missed(call);
+    }
+  }
+  void Missed(const Call& call) {
+    tally_.last_miss = std::max(tally_.last_miss, call.arrived);
+  }
+
+  Pool pool_;
+  Cause cause_;
+  bool in_order_of_arrival_;
+  AdmissionQueue queue_;
+  std::mt19937 random_;
+  std::vector<Call> calls_;
+  std::size_t chat_calls_ = 0;
+  std::size_t next_call_ = 0;
+  std::vector<Attempt> attempts_;
+  std::deque<std::size_t> line_;
+  std::multimap<milliseconds, std::size_t> retries_;
+  std::priority_queue<milliseconds, std::vector<milliseconds>, std::greater<>>
+      ends_;
+  milliseconds now_{0};
+  Tally tally_;
+};
+
+void Print(const char* name, Tally& tally, milliseconds cause_end) {
+  std::cout << name << ": chat " << tally.Share(kChat) << ", long "
+            << tally.Share(kLong) << ", other accounts " << tally.OthersShare()
+            << " of the worth; chat median " << tally.ChatLatency(0.5).count()
+            << " ms, 99th " << tally.ChatLatency(0.99).count()
+            << " ms; recovered after " << (tally.last_miss - cause_end).count()
+            << " ms; " << tally.attempts << " attempts, refused "
+            << tally.refused << ", at the deadline " << tally.AtDeadline()
+            << "\n";
+}
+
+class AdmissionPlay : public testing::TestWithParam<unsigned> {
+ protected:
+  void Play(const Pool& pool, const Cause& cause, unsigned seed) {
+    LoadPlay play(pool, cause, /*in_order_of_arrival=*/false, seed);
+    queued_ = play.Run();
+    in_order_ = LoadPlay(pool, cause, true, seed).Run();
+    Print("queue", queued_, play.CauseEnd());
+    Print("in order", in_order_, play.CauseEnd());
+    // The bounds that the working page states.
+    EXPECT_LE(queued_.last_miss, play.CauseEnd() + seconds(2));
+    EXPECT_LT(queued_.AtDeadline(), 0.02);
+    // The goal of the urgent kind.
+    const milliseconds goal = kCallKinds[kChat].goal;
+    EXPECT_LE(queued_.ChatLatency(0.5), in_order_.ChatLatency(0.5));
+    EXPECT_LE(queued_.ChatLatency(0.99), goal);
+    EXPECT_GE(queued_.Share(kChat), in_order_.Share(kChat));
+    EXPECT_GE(queued_.worth[kChat] + queued_.worth[kLong],
+              in_order_.worth[kChat] + in_order_.worth[kLong]);
+    EXPECT_GE(queued_.OthersShare(), in_order_.OthersShare());
+  }
+
+  Tally queued_;
+  Tally in_order_;
+};
+
+constexpr Cause kBurst{.duration = seconds(6), .long_factor = 2.4};
+constexpr Cause kOutage{.duration = seconds(14), .servers_lost = 0.25};
+constexpr Cause kBusyCause{.duration = seconds(14), .account_factor = 6};
+
+// Guards against long prompts that hold up chat, and against an overload that
+// outlasts its cause.
+TEST_P(AdmissionPlay, ABurstOfTheLessUrgentKind) {
+  Play(kWholePool, kBurst, GetParam());
+}
+// Guards against the same where the capacity is cut.
+TEST_P(AdmissionPlay, AQuarterOfTheServersIsLost) {
+  Play(kWholePool, kOutage, GetParam());
+}
+// Guards against an account that takes the capacity of the others.
+TEST_P(AdmissionPlay, OneAccountHasSixTimesItsLoad) {
+  Play(kWholePool, kBusyCause, GetParam());
+}
+INSTANTIATE_TEST_SUITE_P(Seeds, AdmissionPlay, testing::Values(1, 2, 3, 4, 5));
+
+// The same in a small pool, whose load varies more. In a sweep of seeds 6 to
+// 45, seeds 11, 13, 14 and 24 were among those that missed a bound by calls
+// which meet their goal without the cause. KNOWN-RED.txt lists them.
+class AdmissionSmallPool : public AdmissionPlay {};
+
+TEST_P(AdmissionSmallPool, ABurstOfTheLessUrgentKind) {
+  Play(kSmallPool, kBurst, GetParam());
+}
+TEST_P(AdmissionSmallPool, AQuarterOfTheServersIsLost) {
+  Play(kSmallPool, kOutage, GetParam());
+}
+TEST_P(AdmissionSmallPool, OneAccountHasSixTimesItsLoad) {
+  Play(kSmallPool, kBusyCause, GetParam());
+}
+INSTANTIATE_TEST_SUITE_P(Seeds, AdmissionSmallPool,
+                         testing::Values(1, 2, 3, 11, 13, 14, 24));
+
 }  // namespace
 }  // namespace beryllane
