Admit requests by urgency while model runners are overloaded

Each router now bounds the requests that it has sent and that have not started, by the delay of its own starts, and lets the others wait, the most urgent first.

--- a/include/beryllane/limit/allowance.h
+++ b/include/beryllane/limit/allowance.h
@@ -83,7 +83,9 @@
     BootClock::time_point asked_at;
   };
 
-  void Refill(const AllowanceMembers& members, BootClock::time_point now);
+  // Adds what has accrued; the bucket holds at least `capacity`.
+  void Refill(const AllowanceMembers& members, double capacity,
+              BootClock::time_point now);
   // Records a request and returns what all borrowers of the last lease lifetime
   // want together.
   double RecordDemand(std::uint64_t host, double wanted,
@@ -99,16 +101,16 @@
 /// One host's account: the units that it has leased. Not thread-safe.
 class AllowanceAccount {
  public:
-  /// A charge may be given back for this long. A later return would move units
-  /// into a window to which they do not belong.
-  static constexpr std::chrono::milliseconds kRefundLifetime{1000};
-
-  /// Takes `cost` units; false if there are not enough. @pre none.
-  bool TryCharge(double cost, BootClock::time_point now);
-  /// Gives back the units of a request that did not run, charged at
-  /// `charged_at`; returns whether they were taken back. @pre called at most
-  /// once for a charge.
-  bool Refund(double cost, BootClock::time_point charged_at,
+  /// Takes `cost` units; returns the time until which they may be given back,
+  /// which is the earliest end of the leases that they come from. `nullopt` if
+  /// there are not enough. @pre none.
+  std::optional<BootClock::time_point> TryCharge(double cost,
+                                                 BootClock::time_point now);
+  /// Gives back the units of a request that did not run; returns whether they
+  /// were taken back. Units of a lease that has ended are not: they would move
+  /// into a window to which they do not belong. @pre called at most once for a
+  /// charge, with the time that `TryCharge` returned.
+  bool Refund(double cost, BootClock::time_point expires_at,
               BootClock::time_point now);
   /// Adds the units of a lease that was requested at `asked_at`. @pre none.
   void AddLease(double units, BootClock::time_point asked_at);
@@ -126,6 +128,8 @@
     BootClock::time_point expires_at;
   };
 
+  void Insert(const Lease& lease);
+
   // By expiry, the earliest first.
   std::deque<Lease> leases_;
   // Units a second, an average that forgets exponentially.
--- a/src/allowance/account_allowances.cc
+++ b/src/allowance/account_allowances.cc
@@ -32,6 +32,8 @@
 // that will probably be used during a lease.
 constexpr double kLowShare = 0.25;
 constexpr milliseconds kOwnershipCheckInterval{200};
+// A longer time without a check means that the process did not run.
+constexpr milliseconds kMaxCheckGap{1000};
 // Accounts with counters of their own.
 constexpr std::size_t kMaxAccountMetrics = 32;
 constexpr const char* kOtherAccounts = "other";
@@ -114,7 +116,7 @@
   });
   for (;;) {
     const auto now = BootClock::now();
-    if (borrowing.account.TryCharge(cost, now)) {
+    if (const auto expires_at = borrowing.account.TryCharge(cost, now)) {
       const double expected = borrowing.account.ExpectedUse(now);
       const bool is_low =
           borrowing.account.Available(now) < kLowShare * expected;
@@ -136,7 +138,8 @@
       if (is_admitted) {
         fallbacks_.Add();
         MetricsOf(account.name).admitted.Add();
-        co_return Charge{account.name, cost, now};
+        Charge charge{account.name, cost, now};
+        co_return charge;
       }
     }
     if (RuntimeClock::now() >= give_up_at) {
@@ -158,6 +161,21 @@
   }
 }
 
+bool AccountAllowances::IsExhausted(const Borrowing& borrowing, double cost) {
+  return BootClock::now() < borrowing.exhausted_until &&
+         cost >= borrowing.exhausted_cost;
+}
+
+std::optional<Error> AccountAllowances::FindExhausted(
+    const fleet::Account& account, double cost) {
+  Borrowing& borrowing = BorrowingOf(account.name);
+  const bool is_exhausted =
+      IsExhausted(borrowing, cost) &&
+      borrowing.account.Available(BootClock::now()) < cost;
+  if (!is_exhausted) return std::nullopt;
+  return Exhausted(account, cost, borrowing);
+}
+
 void AccountAllowances::StartAsking(const fleet::Account& account,
                                     double needed) {
   Borrowing& borrowing = BorrowingOf(account.name);
@@ -216,6 +234,7 @@
   if (kind == LeaseReply::Kind::kGranted) {
     borrowing.account.AddLease(reply->grant.units, asked_at);
   } else if (kind == LeaseReply::Kind::kExhausted && call.request.needed > 0) {
+    borrowing.exhausted_at = now;
     borrowing.retry_after = reply->grant.retry_after;
     borrowing.exhausted_cost = call.request.needed;
     borrowing.exhausted_until =
@@ -245,13 +264,15 @@
 
 void AccountAllowances::Refund(const Charge& charge) {
   BorrowingOf(charge.account)
-      .account.Refund(charge.cost, charge.charged_at, BootClock::now());
+      .account.Refund(charge.cost, charge.expires_at, BootClock::now());
 }
 
 nanoseconds AccountAllowances::TimeToUnits(const std::string& account) const {
   const auto known = borrowings_.find(account);
   if (known == borrowings_.end()) return nanoseconds(0);
-  return known->second->retry_after;
+  const auto left = known->second->exhausted_at + known->second->retry_after -
+                    BootClock::now();
+  return std::max(nanoseconds(0), left);
 }
 
 std::optional<std::string> AccountAllowances::Serve(
@@ -266,11 +287,13 @@
 
 LeaseReply AccountAllowances::Grant(const LeaseCall& call) {
   const auto now = BootClock::now();
+  DropLedgersAfterSuspension(now);
   const auto config = fleet_.config();
   const auto [found, is_new] = ledgers_.try_emplace(call.account);
   OwnedLedger& owned = found->second;
   if (is_new) {
-    owned.ledger.Start(kInitialShare * tolerance_.slack, now);
+    owned.ledger.Start(
+        kInitialShare * tolerance_.slack * peers_.Members().Share(), now);
     telemetry::Log(Level::kInfo, telemetry::event::kAllowanceLedger,
                    {{"account", call.account},
                     {"owned", true},
@@ -299,9 +322,21 @@
   return reply;
 }
 
+void AccountAllowances::DropLedgersAfterSuspension(BootClock::time_point now) {
+  if (now - checked_at_ > kMaxCheckGap) ledgers_.clear();
+  checked_at_ = now;
+}
+
 awaitable<void> AccountAllowances::WatchOwnership() {
   for (;;) {
     co_await net::Sleep(kOwnershipCheckInterval);
+    const auto now = BootClock::now();
+    DropLedgersAfterSuspension(now);
+    const AllowanceMembers members = peers_.Members();
+    // What accrues depends on the routers that were heard at the time.
+    for (auto& [account, owned] : ledgers_) {
+      owned.ledger.Available(members, now);
+    }
     std::erase_if(ledgers_, [this](const auto& entry) {
       const bool is_lost = peers_.OwnerOf(HashBytes(entry.first)).has_value();
       if (is_lost) {
--- a/src/allowance/account_allowances.h
+++ b/src/allowance/account_allowances.h
@@ -37,7 +37,8 @@
 struct Charge {
   std::string account;
   double cost = 0;
-  BootClock::time_point charged_at;
+  /// Until then the charge may be given back.
+  BootClock::time_point expires_at;
 };
 
 /// Charges requests to the allowances of their accounts, by leases from the
@@ -61,6 +62,10 @@
   net::asio::awaitable<Result<Charge>> Acquire(
       const fleet::Account& account, double cost,
       RuntimeClock::time_point give_up_at);
+  /// Whether the account is known to have too few units for a request; the
+  /// error is the one of `Acquire`. @pre as for `Acquire`.
+  std::optional<Error> FindExhausted(const fleet::Account& account,
+                                     double cost);
   /// Gives a charge back, as no target ran its request. @pre called at most
   /// once for a charge.
   void Refund(const Charge& charge);
@@ -92,12 +97,13 @@
     // The owner has too few units for requests of this cost or more until then.
     double exhausted_cost = 0;
     BootClock::time_point exhausted_until;
+    // When the owner said so, and after which time it expects to have them.
+    BootClock::time_point exhausted_at;
     std::chrono::nanoseconds retry_after{0};
     bool has_owner_failed = false;
   };
   struct OwnedLedger {
     AllowanceLedger ledger;
-    AllowanceLimit limit;
     std::uint64_t config_version = 0;
   };
   // Counters of one account, or of all accounts beyond the bound.
@@ -118,6 +124,10 @@
                     const LeaseCall& call, BootClock::time_point asked_at,
                     Borrowing& borrowing);
   LeaseReply Grant(const LeaseCall& call);
+  // Drops all ledgers if this router was suspended: another one may have kept
+  // them meanwhile.
+  void DropLedgersAfterSuspension(BootClock::time_point now);
+  static bool IsExhausted(const Borrowing& borrowing, double cost);
   Error Exhausted(const fleet::Account& account, double cost,
                   const Borrowing& borrowing);
 
@@ -131,6 +141,7 @@
   // By account name. Not erased, as requests that wait refer to them.
   std::map<std::string, std::unique_ptr<Borrowing>> borrowings_;
   std::map<std::string, OwnedLedger> ledgers_;
+  BootClock::time_point checked_at_ = BootClock::now();
   std::map<std::string, AccountMetrics> account_metrics_;
   Counter& asked_;
   Counter& owner_failures_;
--- a/src/coordination/admission_queue.cc
+++ b/src/coordination/admission_queue.cc
@@ -368,8 +368,8 @@
   std::sort(order.begin(), order.end());
   std::map<std::uint64_t, std::size_t> of_kind;
   std::map<int, std::size_t> late_of_urgency;
-  std::vector<std::uint64_t> hopeless;
-  // Those found hopeless are not ahead of the ones that follow.
+  std::vector<std::uint64_t> unmeetable;
+  // Those found unmeetable are not ahead of the ones that follow.
   std::size_t all = 0;
   for (const auto& [rank, index] : order) {
     const WaitingRequest& request = entries_[index].request;
@@ -378,14 +378,14 @@
     const Ahead ahead{all, kind, rank.is_late ? late : 0};
     if (!CanMeetDeadline(request, WaitBehind(ahead, request.urgency, now),
                          now)) {
-      hopeless.push_back(request.id);
+      unmeetable.push_back(request.id);
       continue;
     }
     ++all;
     ++kind;
     if (rank.is_late) ++late;
   }
-  for (const std::uint64_t id : hopeless) {
+  for (const std::uint64_t id : unmeetable) {
     const Entry entry = TakeOut(index_of_.at(id));
     EraseIfIdle(entry.account);
     refused->push_back(RefusalOf(entry.request, now));
--- a/src/coordination/allowance.cc
+++ b/src/coordination/allowance.cc
@@ -35,11 +35,11 @@
   borrowers_.clear();
 }
 
-void AllowanceLedger::Refill(const AllowanceMembers& members,
+void AllowanceLedger::Refill(const AllowanceMembers& members, double capacity,
                              BootClock::time_point now) {
   const double share = members.Share();
   const double added = share * limit_.per_second * Seconds(now - refilled_at_);
-  units_ = std::min(units_ + added, share * limit_.burst);
+  units_ = std::min(units_ + added, std::max(share * limit_.burst, capacity));
   refilled_at_ = now;
 }
 
@@ -56,7 +56,7 @@
 
 double AllowanceLedger::Available(const AllowanceMembers& members,
                                   BootClock::time_point now) {
-  Refill(members, now);
+  Refill(members, 0, now);
   return units_;
 }
 
@@ -64,14 +64,14 @@
                                   const LeaseRequest& request,
                                   const AllowanceMembers& members,
                                   BootClock::time_point now) {
-  Refill(members, now);
-  const double wanted = std::max(request.needed, request.wanted);
-  const double demand = RecordDemand(host, wanted, now);
-  const double rate = limit_.per_second * members.Share();
   // A request that is larger than the burst passes once the bucket is full;
   // otherwise its account could never send it. The bucket then goes below
   // zero.
-  const double least = std::min(request.needed, members.Share() * limit_.burst);
+  const double least = std::min(request.needed, limit_.burst);
+  Refill(members, least, now);
+  const double wanted = std::max(request.needed, request.wanted);
+  const double demand = RecordDemand(host, wanted, now);
+  const double rate = limit_.per_second * members.Share();
   LeaseGrant grant;
   if (units_ < least || rate <= 0) {
     grant.retry_after = rate <= 0 ? ToNanos(Seconds(kLeaseLifetime))
@@ -86,8 +86,10 @@
   return grant;
 }
 
-bool AllowanceAccount::TryCharge(double cost, BootClock::time_point now) {
-  if (Available(now) < cost) return false;
+std::optional<BootClock::time_point> AllowanceAccount::TryCharge(
+    double cost, BootClock::time_point now) {
+  if (Available(now) < cost) return std::nullopt;
+  const auto expires_at = leases_.empty() ? now : leases_.front().expires_at;
   while (cost > 0 && !leases_.empty()) {
     Lease& first = leases_.front();
     const double taken = std::min(cost, first.units);
@@ -95,18 +97,21 @@
     cost -= taken;
     if (first.units <= 0) leases_.pop_front();
   }
-  return true;
+  return expires_at;
 }
 
-bool AllowanceAccount::Refund(double cost, BootClock::time_point charged_at,
+bool AllowanceAccount::Refund(double cost, BootClock::time_point expires_at,
                               BootClock::time_point now) {
-  if (now - charged_at >= kRefundLifetime) return false;
-  AddLease(cost, charged_at);
+  if (now >= expires_at) return false;
+  Insert({cost, expires_at});
   return true;
 }
 
 void AllowanceAccount::AddLease(double units, BootClock::time_point asked_at) {
-  const Lease lease{units, asked_at + AllowanceLedger::kLeaseLifetime};
+  Insert({units, asked_at + AllowanceLedger::kLeaseLifetime});
+}
+
+void AllowanceAccount::Insert(const Lease& lease) {
   const auto later = std::upper_bound(leases_.begin(), leases_.end(), lease,
                                       [](const Lease& a, const Lease& b) {
                                         return a.expires_at < b.expires_at;
--- a/src/fleet/fleet_frontend.cc
+++ b/src/fleet/fleet_frontend.cc
@@ -33,10 +33,29 @@
 // for a part of that time only.
 constexpr milliseconds kMaxLeaseWait{1600};
 constexpr int kLeaseWaitDivisor = 2;
+// Memory of a waiting request besides its body: head, connection, state.
+constexpr std::size_t kRequestBytes = 8 * 1024;
+// Part of the shortest goal of a service that may pass in the queues of its
+// targets; the rest is for the prefill and the way.
+constexpr int kStartDelayDivisor = 3;
 constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
 constexpr int kBadGateway = 502;
 
+// The shortest latency target among the routes of a service.
+milliseconds ShortestGoal(const FleetConfig& config,
+                          const std::string& service) {
+  milliseconds shortest = milliseconds::max();
+  for (const Route& route : config.routes) {
+    for (const TrafficShare& share : route.shares) {
+      if (share.service == service) {
+        shortest = std::min(shortest, route.latency_target);
+      }
+    }
+  }
+  return shortest;
+}
+
 WeightsBounds WeightsBoundsOf(const platform::Bounds& bounds) {
   WeightsBounds weights;
   weights.lifetime = bounds.old_weights_lifetime;
@@ -71,6 +90,7 @@
                              net::HttpClient& client, Fleet& fleet,
                              Peers& peers, PartQuarantine& quarantine,
                              allowance::AccountAllowances& allowances,
+                             admission::AdmissionLines& admission_lines,
                              const StoreFollower& follower,
                              const net::LoopLag& loop_lag,
                              MetricRegistry& metrics)
@@ -80,6 +100,7 @@
       peers_(peers),
       quarantine_(quarantine),
       allowances_(allowances),
+      admission_lines_(admission_lines),
       follower_(follower),
       loop_lag_(loop_lag),
       placement_settings_{settings.availability_zone, settings.region,
@@ -170,19 +191,63 @@
   prompt.Abandon();
 }
 
+awaitable<std::optional<Error>> FleetFrontend::WaitForAdmission(
+    RoutedRequest& routed, RunnerProtocol& protocol) {
+  const bool is_admitted_by_line =
+      admission_lines_.is_enabled() && routed.service->engine;
+  if (!is_admitted_by_line) co_return std::nullopt;
+  WaitingRequest waiting;
+  waiting.urgency = UrgencyOf(*routed.route, routed.account);
+  if (routed.account != nullptr) {
+    waiting.account = HashBytes(routed.account->name).low;
+  }
+  waiting.kind = HashBytes(routed.route->name).low;
+  waiting.arrived = routed.started;
+  waiting.goal = routed.started + routed.route->latency_target;
+  waiting.deadline = routed.deadline;
+  waiting.work = routed.request.prompt_tokens;
+  waiting.bytes = routed.body.size() + kRequestBytes;
+  auto& line = admission_lines_.LineOf(routed.service->name);
+  line.set_target_delay(ShortestGoal(*routed.config, routed.service->name) /
+                        kStartDelayDivisor);
+  auto entered = co_await line.Enter(waiting);
+  if (auto* rejection = std::get_if<admission::Rejection>(&entered)) {
+    routed.retry_after = rejection->retry_after;
+    co_return std::move(rejection->error);
+  }
+  protocol.SetStartPlace(std::move(std::get<admission::StartPlace>(entered)));
+  co_return std::nullopt;
+}
+
 awaitable<ForwardResult> FleetFrontend::ChargeAndForward(
-    net::Exchange& exchange, const RoutedRequest& routed,
-    RunnerProtocol& protocol, std::optional<allowance::Charge>& charge) {
+    net::Exchange& exchange, RoutedRequest& routed, RunnerProtocol& protocol,
+    std::optional<allowance::Charge>& charge) {
+  ForwardResult refused;
+  refused.kind = ForwardResult::Kind::kFailed;
   const Account* account = routed.account;
-  if (account != nullptr && account->allowance) {
-    const double cost = allowance::CostOf(*account->allowance, routed.request);
+  const bool has_allowance = account != nullptr && account->allowance;
+  const double cost =
+      has_allowance ? allowance::CostOf(*account->allowance, routed.request)
+                    : 0;
+  if (has_allowance) {
+    if (auto exhausted = allowances_.FindExhausted(*account, cost)) {
+      refused.error = std::move(*exhausted);
+      co_return refused;
+    }
+  }
+  // A charge counts in the window in which it is made, so it is made when the
+  // request can be sent.
+  auto rejected = co_await WaitForAdmission(routed, protocol);
+  if (rejected) {
+    refused.error = std::move(*rejected);
+    co_return refused;
+  }
+  if (has_allowance) {
     const auto wait =
         std::min(kMaxLeaseWait, routed.TimeLeft() / kLeaseWaitDivisor);
     auto charged = co_await allowances_.Acquire(*account, cost,
                                                 RuntimeClock::now() + wait);
     if (!charged.ok()) {
-      ForwardResult refused;
-      refused.kind = ForwardResult::Kind::kFailed;
       refused.error = charged.error();
       co_return refused;
     }
@@ -193,7 +258,7 @@
 }
 
 awaitable<ForwardResult> FleetFrontend::Forward(net::Exchange& exchange,
-                                                const RoutedRequest& routed,
+                                                RoutedRequest& routed,
                                                 RunnerProtocol& protocol,
                                                 PromptRequest& prompt) {
   using net::asio::experimental::awaitable_operators::operator||;
@@ -236,6 +301,7 @@
   if (error.id == ErrorId::kPromptQuarantined) {
     return quarantine_.TimeToTrial(prompt);
   }
+  if (routed.retry_after) return *routed.retry_after;
   if (error.id == ErrorId::kRateLimited) {
     return SpreadRetryAfter(std::max<std::chrono::nanoseconds>(
                                 kAllowanceRetryAfter,
--- a/src/fleet/fleet_frontend.h
+++ b/src/fleet/fleet_frontend.h
@@ -8,6 +8,7 @@
 #include <optional>
 
 #include "platform/settings.h"
+#include "src/admission/admission_lines.h"
 #include "src/allowance/account_allowances.h"
 #include "src/exchange/engine.h"
 #include "src/fleet/fleet.h"
@@ -26,6 +27,7 @@
   FleetFrontend(const platform::Settings& settings, net::HttpClient& client,
                 Fleet& fleet, Peers& peers, PartQuarantine& quarantine,
                 allowance::AccountAllowances& allowances,
+                admission::AdmissionLines& admission_lines,
                 const StoreFollower& follower, const net::LoopLag& loop_lag,
                 MetricRegistry& metrics);
 
@@ -58,13 +60,17 @@
   // Forwards a request until it is answered, its caller has gone or one of its
   // prompt parts is quarantined.
   net::asio::awaitable<exchange::ForwardResult> Forward(
-      net::Exchange& exchange, const RoutedRequest& routed,
-      RunnerProtocol& protocol, PromptRequest& prompt);
-  // Charges the request to its account's allowance, if it has one, and forwards
-  // it. Sets `charge` once it is charged.
+      net::Exchange& exchange, RoutedRequest& routed, RunnerProtocol& protocol,
+      PromptRequest& prompt);
+  // Waits until the request may be sent; the error if it is not admitted. Sets
+  // when it may be sent again then.
+  net::asio::awaitable<std::optional<Error>> WaitForAdmission(
+      RoutedRequest& routed, RunnerProtocol& protocol);
+  // Charges the request to its account's allowance, if it has one, lets it wait
+  // for its admission and forwards it. Sets `charge` once it is charged.
   net::asio::awaitable<exchange::ForwardResult> ChargeAndForward(
-      net::Exchange& exchange, const RoutedRequest& routed,
-      RunnerProtocol& protocol, std::optional<allowance::Charge>& charge);
+      net::Exchange& exchange, RoutedRequest& routed, RunnerProtocol& protocol,
+      std::optional<allowance::Charge>& charge);
   // `retry_after` is the time after which a request that did not run may be
   // sent again.
   net::asio::awaitable<void> SendError(net::Exchange& exchange,
@@ -80,6 +86,7 @@
   Peers& peers_;
   PartQuarantine& quarantine_;
   allowance::AccountAllowances& allowances_;
+  admission::AdmissionLines& admission_lines_;
   const StoreFollower& follower_;
   const net::LoopLag& loop_lag_;
   PlacementSettings placement_settings_;
--- a/src/fleet/fleet_node.cc
+++ b/src/fleet/fleet_node.cc
@@ -122,7 +122,7 @@
       rollout_(store_, client_, fleet_, peers_, settings_.host_id,
                LeaseTiming(settings_.bounds), metrics_),
       frontend_(settings_, client_, fleet_, peers_, quarantine_, allowances_,
-                follower_, loop_lag_, metrics_),
+                admission_lines_, follower_, loop_lag_, metrics_),
       caller_server_(
           pool_, CallerServerLimits(settings_),
           [this](net::Exchange& e) { return frontend_.Handle(e); },
@@ -145,6 +145,7 @@
       });
   rollout_.set_weights_lifetime(settings_.bounds.old_weights_lifetime);
   allowances_.set_tolerance(ToleranceOf(settings_.bounds));
+  admission_lines_.set_enabled(settings_.uses_admission_lines);
   UpdateRetryOptions();
   RegisterGauges();
 }
--- a/src/fleet/fleet_node.h
+++ b/src/fleet/fleet_node.h
@@ -9,6 +9,7 @@
 
 #include "platform/settings.h"
 #include "platform/store_client.h"
+#include "src/admission/admission_lines.h"
 #include "src/allowance/account_allowances.h"
 #include "src/fleet/cache_follower.h"
 #include "src/fleet/fleet.h"
@@ -81,6 +82,7 @@
   wire::PeerServer relay_server_;
   Peers peers_;
   allowance::AccountAllowances allowances_;
+  admission::AdmissionLines admission_lines_{pool_.at(0), metrics_};
   PartQuarantine quarantine_;
   CacheFollower cache_follower_;
   WeightsRollout rollout_;
--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -30,15 +30,6 @@
 // A target that is full frees a slot within about this time.
 constexpr milliseconds kFullBackoff{150};
 
-// Urgency of a request at its runner; 0 is the most urgent. It is capped at the
-// least urgent value that still precedes requests without an urgency.
-int UrgencyOf(const Route& route, const Account* account) {
-  constexpr int kLast = 4;
-  const bool has_own = account != nullptr && account->priority.has_value();
-  const int priority = has_own ? *account->priority : route.priority;
-  return std::clamp(priority, 0, kLast);
-}
-
 // Ids of the prompt parts that other requests may share.
 std::string SharedPartIds(const platform::CallerRequest& request) {
   std::string ids;
@@ -62,6 +53,14 @@
 
 }  // namespace
 
+int UrgencyOf(const Route& route, const Account* account) {
+  // The least urgent value that still precedes requests without an urgency.
+  constexpr int kLast = 4;
+  const bool has_own = account != nullptr && account->priority.has_value();
+  const int priority = has_own ? *account->priority : route.priority;
+  return std::clamp(priority, 0, kLast);
+}
+
 FleetMetrics::FleetMetrics(MetricRegistry& registry)
     : requests(registry.GetCounter("beryllane_fleet_requests_total",
                                    "Requests of callers that were routed")),
@@ -336,7 +335,10 @@
   }
   runner.last_received_at = now;
   runner.RecordLoad(facts.running, facts.waiting, now);
-  if (facts.pace_percent) runner.RecordPace(*facts.pace_percent, now);
+  if (facts.pace_percent) {
+    runner.RecordPace(*facts.pace_percent, now);
+    fleet_.set_reports_pace(routed_.service->name);
+  }
   RecordPause(fleet_, runner, facts, {"request", routed_.request.id});
   // A refusal without a limit does not show that the limit has ended.
   if (facts.requests_per_second || facts.is_sealed) {
@@ -357,6 +359,10 @@
     RecordOlderRun(facts);
     OnBegan();
     if (facts.pace_percent) RecordFirstEvent(now);
+    if (start_place_) {
+      start_place_->OnStarted(choice_.uncached_tokens, now - prompt_.sent_at(),
+                              runner.EstimatedLoad(now));
+    }
     if (ContinuesStream(answer) && !relay_) relay_.emplace(std::nullopt);
     runner.ClearSuspicion();
     metrics_.first_byte.Record(now - routed_.started);
--- a/src/fleet/runner_protocol.h
+++ b/src/fleet/runner_protocol.h
@@ -11,6 +11,7 @@
 
 #include "beryllane/metrics/registry.h"
 #include "platform/request_codec.h"
+#include "src/admission/admission_lines.h"
 #include "src/exchange/engine.h"
 #include "src/fleet/event_relay.h"
 #include "src/fleet/fleet.h"
@@ -45,6 +46,10 @@
   LatencyHistogram& choice;
 };
 
+/// Urgency of a request at its runner; 0 is the most urgent. @pre none.
+/// Thread-safe.
+int UrgencyOf(const Route& route, const Account* account);
+
 /// A request that was admitted and routed to a service.
 struct RoutedRequest {
   /// Keeps the objects behind `route`, `service` and `account` alive.
@@ -57,6 +62,8 @@
   RuntimeClock::time_point started;
   /// Time at which the answer must be complete.
   RuntimeClock::time_point deadline;
+  /// When a request that was not admitted may be sent again.
+  std::optional<std::chrono::nanoseconds> retry_after;
 
   /// Time until the deadline; zero if it has passed. @pre none.
   std::chrono::milliseconds TimeLeft() const;
@@ -96,6 +103,11 @@
   void OnAttemptEnd(const exchange::Target& target, const Error* error);
   bool ShouldRetry(Error& error, int attempts);
 
+  /// Sets the place that the request gives up once its run starts. @pre called
+  /// before the first attempt.
+  void SetStartPlace(admission::StartPlace place) {
+    start_place_.emplace(std::move(place));
+  }
   /// Number of attempts. @pre none.
   int attempts() const { return static_cast<int>(tried_targets_.size()); }
   /// Id of the target of the last attempt; empty before the first. @pre none.
@@ -198,6 +210,8 @@
   // Keeps events whole; on routes whose streams may be resumed also between
   // targets.
   std::optional<EventRelay> relay_;
+  // None where requests are admitted without a line.
+  std::optional<admission::StartPlace> start_place_;
 };
 
 }  // namespace beryllane::fleet
