--- a/include/beryllane/placement/pace.h
+++ b/include/beryllane/placement/pace.h
@@ -27,8 +27,8 @@
   /// Decode step time before enough samples, about that of the deployments'
   /// data sheets.
   static constexpr Millis kDefaultStepTime{6};
-  /// A request with fewer prompt tokens to process gives no information about the
-  /// throughput: network and step time make up much of its time.
+  /// A request with fewer prompt tokens to process gives no information about
+  /// the throughput: network and step time make up much of its time.
   static constexpr std::uint32_t kMinTokens = 1000;
   /// Number of prefill samples from which an estimate replaces the default.
   static constexpr std::size_t kMinPrefillSamples = 4;
--- a/tests/src/unit-quarantine.cpp
+++ b/tests/src/unit-quarantine.cpp
@@ -98,6 +98,18 @@
   EXPECT_EQ(attribution.TakeCulprit(At(1100)), std::nullopt);
 }
 
+// Guards against a part of many requests that is refused because targets fail
+// together and hosts that are further away go on sending to them for a moment.
+TEST(CrashAttribution, RequestsSentWhileTargetsFailTogetherConvictNoPart) {
+  CrashAttribution attribution;
+  for (int i = 1; i <= 12; ++i) {
+    const int sent_ms = 900 + 20 * i;
+    attribution.AddCrash(Target(i), At(1000 + 20 * i),
+                         {Starting(kSharedFirstPart, sent_ms, 0)});
+  }
+  EXPECT_EQ(attribution.TakeCulprit(At(1300)), std::nullopt);
+}
+
 TEST(CrashAttribution, ATargetThatCrashesAgainAndAgainConvictsNoPart) {
   CrashAttribution attribution;
   for (int i = 1; i <= 9; ++i) {
