Charge a request before it waits, and again if it waited long

The charge is made first again; a request that has waited for the lifetime of a lease is charged anew, so that no run counts in a window in which it was not charged.

--- a/src/allowance/account_allowances.cc
+++ b/src/allowance/account_allowances.cc
@@ -138,7 +138,7 @@
       if (is_admitted) {
         fallbacks_.Add();
         MetricsOf(account.name).admitted.Add();
-        Charge charge{account.name, cost, now};
+        Charge charge{account.name, cost, now, now};
         co_return charge;
       }
     }
@@ -166,16 +166,6 @@
          cost >= borrowing.exhausted_cost;
 }
 
-std::optional<Error> AccountAllowances::FindExhausted(
-    const fleet::Account& account, double cost) {
-  Borrowing& borrowing = BorrowingOf(account.name);
-  const bool is_exhausted =
-      IsExhausted(borrowing, cost) &&
-      borrowing.account.Available(BootClock::now()) < cost;
-  if (!is_exhausted) return std::nullopt;
-  return Exhausted(account, cost, borrowing);
-}
-
 void AccountAllowances::StartAsking(const fleet::Account& account,
                                     double needed) {
   Borrowing& borrowing = BorrowingOf(account.name);
--- a/src/allowance/account_allowances.h
+++ b/src/allowance/account_allowances.h
@@ -37,8 +37,15 @@
 struct Charge {
   std::string account;
   double cost = 0;
+  BootClock::time_point charged_at;
   /// Until then the charge may be given back.
   BootClock::time_point expires_at;
+
+  /// Whether the request was charged so long ago that its run would belong to
+  /// another window. @pre none.
+  bool IsOutdated(BootClock::time_point now) const {
+    return now - charged_at >= AllowanceLedger::kLeaseLifetime;
+  }
 };
 
 /// Charges requests to the allowances of their accounts, by leases from the
@@ -62,10 +69,6 @@
   net::asio::awaitable<Result<Charge>> Acquire(
       const fleet::Account& account, double cost,
       RuntimeClock::time_point give_up_at);
-  /// Whether the account is known to have too few units for a request; the
-  /// error is the one of `Acquire`. @pre as for `Acquire`.
-  std::optional<Error> FindExhausted(const fleet::Account& account,
-                                     double cost);
   /// Gives a charge back, as no target ran its request. @pre called at most
   /// once for a charge.
   void Refund(const Charge& charge);
--- a/src/fleet/fleet_frontend.cc
+++ b/src/fleet/fleet_frontend.cc
@@ -219,40 +219,37 @@
   co_return std::nullopt;
 }
 
+awaitable<std::optional<Error>> FleetFrontend::ChargeAllowance(
+    const RoutedRequest& routed, std::optional<allowance::Charge>& charge) {
+  const Account* account = routed.account;
+  if (account == nullptr || !account->allowance) co_return std::nullopt;
+  const double cost = allowance::CostOf(*account->allowance, routed.request);
+  const auto wait =
+      std::min(kMaxLeaseWait, routed.TimeLeft() / kLeaseWaitDivisor);
+  auto charged =
+      co_await allowances_.Acquire(*account, cost, RuntimeClock::now() + wait);
+  if (!charged.ok()) co_return std::move(charged.error());
+  charge = std::move(charged.value());
+  co_return std::nullopt;
+}
+
 awaitable<ForwardResult> FleetFrontend::ChargeAndForward(
     net::Exchange& exchange, RoutedRequest& routed, RunnerProtocol& protocol,
     std::optional<allowance::Charge>& charge) {
   ForwardResult refused;
   refused.kind = ForwardResult::Kind::kFailed;
-  const Account* account = routed.account;
-  const bool has_allowance = account != nullptr && account->allowance;
-  const double cost =
-      has_allowance ? allowance::CostOf(*account->allowance, routed.request)
-                    : 0;
-  if (has_allowance) {
-    if (auto exhausted = allowances_.FindExhausted(*account, cost)) {
-      refused.error = std::move(*exhausted);
-      co_return refused;
-    }
+  auto error = co_await ChargeAllowance(routed, charge);
+  if (!error) error = co_await WaitForAdmission(routed, protocol);
+  const bool is_outdated =
+      !error && charge && charge->IsOutdated(BootClock::now());
+  if (is_outdated) {
+    charge.reset();
+    error = co_await ChargeAllowance(routed, charge);
   }
-  // A charge counts in the window in which it is made, so it is made when the
-  // request can be sent.
-  auto rejected = co_await WaitForAdmission(routed, protocol);
-  if (rejected) {
-    refused.error = std::move(*rejected);
+  if (error) {
+    refused.error = std::move(*error);
     co_return refused;
   }
-  if (has_allowance) {
-    const auto wait =
-        std::min(kMaxLeaseWait, routed.TimeLeft() / kLeaseWaitDivisor);
-    auto charged = co_await allowances_.Acquire(*account, cost,
-                                                RuntimeClock::now() + wait);
-    if (!charged.ok()) {
-      refused.error = charged.error();
-      co_return refused;
-    }
-    charge = std::move(charged.value());
-  }
   exchange::RequestForwarder forwarder(exchange, client_, &protocol);
   co_return co_await forwarder.Run();
 }
--- a/src/fleet/fleet_frontend.h
+++ b/src/fleet/fleet_frontend.h
@@ -62,6 +62,10 @@
   net::asio::awaitable<exchange::ForwardResult> Forward(
       net::Exchange& exchange, RoutedRequest& routed, RunnerProtocol& protocol,
       PromptRequest& prompt);
+  // Charges the request to its account's allowance, if it has one, and sets
+  // `charge`; the error if the allowance does not suffice.
+  net::asio::awaitable<std::optional<Error>> ChargeAllowance(
+      const RoutedRequest& routed, std::optional<allowance::Charge>& charge);
   // Waits until the request may be sent; the error if it is not admitted. Sets
   // when it may be sent again then.
   net::asio::awaitable<std::optional<Error>> WaitForAdmission(
