Refuse at once what no target can take instead of letting it wait

The line now asks before a request waits. The window stays at 5 or more: starts are also late for reasons that sending less does not cure.

--- a/include/beryllane/admission/start_window.h
+++ b/include/beryllane/admission/start_window.h
@@ -22,7 +22,8 @@
   /// Window of a host that has seen no delay.
   static constexpr double kInitial = 16;
   /// Keeps a host that sees long delays sending, so that it sees their end.
-  static constexpr double kMin = 2;
+  /// Delays have other causes too, such as weights that are being loaded.
+  static constexpr double kMin = 5;
   static constexpr double kMax = 256;
   /// Factor of a decrease.
   static constexpr double kDecrease = 0.75;
--- a/src/admission/admission_lines.cc
+++ b/src/admission/admission_lines.cc
@@ -1,7 +1,6 @@
 #include "src/admission/admission_lines.h"
 
 #include <algorithm>
-#include <optional>
 
 #include "fmt/format.h"
 #include "src/net/spawn.h"
@@ -104,7 +103,7 @@
 }
 
 awaitable<std::variant<StartPlace, Rejection>> AdmissionLine::Enter(
-    WaitingRequest request) {
+    WaitingRequest request, ObstacleCheck find_obstacle) {
   request.id = ++next_id_;
   const std::uint64_t id = request.id;
   const auto offered = queue_.Offer(request, Room(), RuntimeClock::now());
@@ -116,6 +115,10 @@
           std::get_if<AdmissionQueue::Refuse>(&offered.decision)) {
     co_return RejectionOf(refused->retry_after);
   }
+  if (auto obstacle = find_obstacle()) {
+    queue_.Remove(id, RuntimeClock::now());
+    co_return std::move(*obstacle);
+  }
   waited_.Add();
   Waiter waiter(loop_);
   waiters_[id] = &waiter;
@@ -149,8 +152,9 @@
   metrics.AddCallbackGauge("beryllane_admission_waiting",
                            "Requests that wait in lines", [this] {
                              std::size_t waiting = 0;
-                             for (const auto& [name, line] : lines_)
+                             for (const auto& [name, line] : lines_) {
                                waiting += line->size();
+                             }
                              return static_cast<double>(waiting);
                            });
   metrics.AddCallbackGauge(
--- a/src/admission/admission_lines.h
+++ b/src/admission/admission_lines.h
@@ -6,8 +6,10 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -75,9 +77,12 @@
   void set_target_delay(std::chrono::nanoseconds delay) {
     window_.set_target_delay(delay);
   }
-  /// Waits until the request may be sent. @pre none.
+  /// Waits until the request may be sent. `find_obstacle` returns the reason if
+  /// no target could take it now even without the line; it does not wait then.
+  /// @pre none.
+  using ObstacleCheck = std::function<std::optional<Rejection>()>;
   net::asio::awaitable<std::variant<StartPlace, Rejection>> Enter(
-      WaitingRequest request);
+      WaitingRequest request, ObstacleCheck find_obstacle);
   /// Number of requests that wait in the line. @pre none.
   std::size_t size() const { return queue_.size(); }
   double window() const { return window_.size(); }
--- a/src/fleet/fleet_frontend.cc
+++ b/src/fleet/fleet_frontend.cc
@@ -37,7 +37,7 @@
 constexpr std::size_t kRequestBytes = 8 * 1024;
 // Part of the shortest goal of a service that may pass in the queues of its
 // targets; the rest is for the prefill and the way.
-constexpr int kStartDelayDivisor = 3;
+constexpr int kStartDelayDivisor = 2;
 constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
 constexpr int kBadGateway = 502;
@@ -210,9 +210,18 @@
   auto& line = admission_lines_.LineOf(routed.service->name);
   line.set_target_delay(ShortestGoal(*routed.config, routed.service->name) /
                         kStartDelayDivisor);
-  auto entered = co_await line.Enter(waiting);
+  auto find_obstacle = [&]() -> std::optional<admission::Rejection> {
+    auto error = protocol.FindObstacle();
+    if (!error) return std::nullopt;
+    admission::Rejection rejection;
+    rejection.error = std::move(*error);
+    return rejection;
+  };
+  auto entered = co_await line.Enter(waiting, find_obstacle);
   if (auto* rejection = std::get_if<admission::Rejection>(&entered)) {
-    routed.retry_after = rejection->retry_after;
+    if (rejection->retry_after > std::chrono::nanoseconds(0)) {
+      routed.retry_after = rejection->retry_after;
+    }
     co_return std::move(rejection->error);
   }
   protocol.SetStartPlace(std::move(std::get<admission::StartPlace>(entered)));
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -505,6 +505,21 @@
   return std::nullopt;
 }
 
+// Why no target can take the request.
+Error ObstacleOf(const Fleet& fleet, const PlacementInput& input,
+                 bool has_limited, RuntimeClock::time_point now) {
+  const bool is_held_back =
+      has_limited ||
+      TimeToCapacity(fleet, input.service.name, now) > nanoseconds(0);
+  if (!is_held_back) return NoTarget(input);
+  return Error{ErrorId::kOverloaded,
+               fmt::format("the targets of service {} are at the limits "
+                           "that they named, asked for a pause, or would start "
+                           "the run too late",
+                           input.service.name),
+               Verdict::kNotRun};
+}
+
 }  // namespace
 
 std::string CacheSalt(std::uint64_t version, const std::string& scope) {
@@ -536,16 +551,35 @@
     choice->runner->gate->pause().OnPlaced(now);
     return std::move(*choice);
   }
-  const bool is_held_back =
-      has_limited ||
-      TimeToCapacity(fleet, input.service.name, now) > nanoseconds(0);
-  if (!is_held_back) return NoTarget(input);
-  return Error{ErrorId::kOverloaded,
-               fmt::format("the targets of service {} are at the limits "
-                           "that they named, asked for a pause, or would start "
-                           "the run too late",
-                           input.service.name),
-               Verdict::kNotRun};
+  return ObstacleOf(fleet, input, has_limited, now);
+}
+
+std::optional<Error> FindPlacementObstacle(const Fleet& fleet,
+                                           const PlacementSettings& settings,
+                                           const PlacementInput& input,
+                                           RuntimeClock::time_point now) {
+  bool has_limited = false;
+  const std::string& service = input.service.name;
+  for (const bool is_last_resort : {false, true}) {
+    auto targets = is_last_resort ? fleet.LastResorts(service, input.started)
+                                  : fleet.AvailableTargets(service);
+    for (const Tier& tier :
+         SplitSuspects(std::move(targets), fleet, input, now)) {
+      for (std::size_t i = 0; i < tier.targets.size(); ++i) {
+        if (tier.is_limited[i]) {
+          has_limited = true;
+          continue;
+        }
+        const bool can_start =
+            !input.service.engine ||
+            WillStartInTime(fleet.DesiredWeightsOf(input.request.model),
+                            *tier.targets[i], input.request.model,
+                            settings.weights);
+        if (can_start) return std::nullopt;
+      }
+    }
+  }
+  return ObstacleOf(fleet, input, has_limited, now);
 }
 
 std::chrono::nanoseconds TimeToCapacity(const Fleet& fleet,
--- a/src/fleet/placement.h
+++ b/src/fleet/placement.h
@@ -82,6 +82,13 @@
                                        const PlacementInput& input,
                                        RuntimeClock::time_point now);
 
+/// The error with which `ChooseTarget` would fail now; `nullopt` if a target
+/// could take the request. Counts nothing. @pre none. Not thread-safe.
+std::optional<Error> FindPlacementObstacle(const Fleet& fleet,
+                                           const PlacementSettings& settings,
+                                           const PlacementInput& input,
+                                           RuntimeClock::time_point now);
+
 /// Time until the limits and pauses of a service's targets allow another
 /// request; zero if they allow one now. @pre none. Not thread-safe.
 std::chrono::nanoseconds TimeToCapacity(const Fleet& fleet,
--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -158,16 +158,26 @@
   choice_.uncached_tokens = 0;
 }
 
+std::optional<Error> RunnerProtocol::FindObstacle() const {
+  if (auto refusal = quarantine_.FindQuarantined(prompt_)) return refusal;
+  return FindPlacementObstacle(fleet_, placement_settings_, Input(),
+                               RuntimeClock::now());
+}
+
+PlacementInput RunnerProtocol::Input() const {
+  return {*routed_.service, routed_.account,
+          routed_.request,  tried_targets_,
+          routed_.started,  is_large_,
+          routed_.deadline, routed_.route->latency_target};
+}
+
 Result<Target> RunnerProtocol::Choose() {
   if (routed_.TimeLeft() <= milliseconds(0)) {
     return Error{ErrorId::kDeadlineExceeded, "the deadline passed",
                  Verdict::kNotRun};
   }
   if (auto refusal = quarantine_.FindQuarantined(prompt_)) return *refusal;
-  const PlacementInput input{*routed_.service, routed_.account,
-                             routed_.request,  tried_targets_,
-                             routed_.started,  is_large_,
-                             routed_.deadline, routed_.route->latency_target};
+  const PlacementInput input = Input();
   const auto asked = RuntimeClock::now();
   auto choice = ChooseTarget(fleet_, placement_settings_, input, asked);
   metrics_.choice.Record(RuntimeClock::now() - asked);
--- a/src/fleet/runner_protocol.h
+++ b/src/fleet/runner_protocol.h
@@ -103,6 +103,9 @@
   void OnAttemptEnd(const exchange::Target& target, const Error* error);
   bool ShouldRetry(Error& error, int attempts);
 
+  /// The error with which `Choose` would fail now; `nullopt` if a target could
+  /// take the request. @pre called before the first attempt.
+  std::optional<Error> FindObstacle() const;
   /// Sets the place that the request gives up once its run starts. @pre called
   /// before the first attempt.
   void SetStartPlace(admission::StartPlace place) {
@@ -119,6 +122,7 @@
   bool IsIdempotent() const {
     return routed_.route->repeatability == Repeatability::kIdempotent;
   }
+  PlacementInput Input() const;
   // Classifies a refusal, or an answer without the seal, that may belong to an
   // earlier request.
   exchange::Classification OnUnprovenRefusal(
--- a/tests/src/unit-start_window.cpp
+++ b/tests/src/unit-start_window.cpp
@@ -145,6 +145,7 @@
   }
 
   net::asio::io_context loop_;
+  std::optional<admission::Rejection> obstacle_;
   MetricRegistry metrics_;
   admission::AdmissionLines lines_{loop_, metrics_};
   admission::AdmissionLine& line_ = lines_.LineOf("s");
@@ -154,7 +155,8 @@
 
  private:
   net::asio::awaitable<void> Run(WaitingRequest request, std::size_t number) {
-    auto entered = co_await line_.Enter(std::move(request));
+    auto entered =
+        co_await line_.Enter(std::move(request), [this] { return obstacle_; });
     outcomes_[number].emplace(std::move(entered));
   }
 };
@@ -191,6 +193,22 @@
   EXPECT_TRUE(IsAdmitted(next));
 }
 
+// Guards against a request that waits for a place though no target can take it.
+TEST_F(AdmissionLineTest, ARequestThatNoTargetCanTakeDoesNotWait) {
+  for (int i = 0; i < static_cast<int>(StartWindow::kInitial); ++i) {
+    Enter(Request(2, seconds(60)));
+  }
+  RunFor(milliseconds(20));
+  obstacle_ = admission::Rejection{
+      {ErrorId::kNoTarget, "none", Verdict::kNotRun}, milliseconds(0)};
+  const std::size_t next = Enter(Request(2, seconds(60)));
+  RunFor(milliseconds(20));
+  ASSERT_TRUE(IsRefused(next));
+  EXPECT_EQ(std::get<admission::Rejection>(*outcomes_[next]).error.id,
+            ErrorId::kNoTarget);
+  EXPECT_EQ(line_.size(), 0U);
+}
+
 // Guards against a request that waits until its caller gives up.
 TEST_F(AdmissionLineTest, ARequestIsRefusedBeforeItsDeadlinePasses) {
   for (int i = 0; i < static_cast<int>(StartWindow::kInitial); ++i) {
