--- a/include/beryllane/limit/allowance.h
+++ b/include/beryllane/limit/allowance.h
@@ -83,9 +83,8 @@
     BootClock::time_point asked_at;
   };
 
-  // Adds what has accrued; the bucket holds at least `capacity`.
-  void Refill(const AllowanceMembers& members, double capacity,
-              BootClock::time_point now);
+  // Adds what has accrued.
+  void Refill(const AllowanceMembers& members, BootClock::time_point now);
   // Records a request and returns what all borrowers of the last lease lifetime
   // want together.
   double RecordDemand(std::uint64_t host, double wanted,
@@ -93,6 +92,9 @@
 
   AllowanceLimit limit_;
   double units_ = 0;
+  // Units of the last request that was refused. The bucket holds that many even
+  // where the share of the burst is smaller, so that the request passes later.
+  double saving_for_ = 0;
   BootClock::time_point refilled_at_;
   // Latest request of each host, the oldest first.
   std::deque<Borrower> borrowers_;
--- a/src/allowance/account_allowances.cc
+++ b/src/allowance/account_allowances.cc
@@ -126,12 +126,14 @@
       const bool may_ask = now >= borrowing.exhausted_until;
       if (is_low && is_frequent && may_ask) StartAsking(account, 0);
       MetricsOf(account.name).admitted.Add();
-      co_return Charge{account.name, cost, now};
+      Charge charge{account.name, cost, now, *expires_at};
+      co_return charge;
     }
-    const bool is_exhausted =
-        now < borrowing.exhausted_until && cost >= borrowing.exhausted_cost;
-    if (is_exhausted) co_return Exhausted(account, cost, borrowing);
-    if (borrowing.has_owner_failed) {
+    if (IsExhausted(borrowing, cost)) {
+      co_return Exhausted(account, cost, borrowing);
+    }
+    // Without the list of routers, the part of this one is not known.
+    if (borrowing.has_owner_failed && peers_.is_registered()) {
       const bool is_admitted = borrowing.fallback.TryCharge(
           cost, account.allowance->limit, tolerance_.overage, peers_.Members(),
           now);
--- a/src/coordination/allowance.cc
+++ b/src/coordination/allowance.cc
@@ -35,11 +35,12 @@
   borrowers_.clear();
 }
 
-void AllowanceLedger::Refill(const AllowanceMembers& members, double capacity,
+void AllowanceLedger::Refill(const AllowanceMembers& members,
                              BootClock::time_point now) {
   const double share = members.Share();
   const double added = share * limit_.per_second * Seconds(now - refilled_at_);
-  units_ = std::min(units_ + added, std::max(share * limit_.burst, capacity));
+  units_ =
+      std::min(units_ + added, std::max(share * limit_.burst, saving_for_));
   refilled_at_ = now;
 }
 
@@ -56,7 +57,7 @@
 
 double AllowanceLedger::Available(const AllowanceMembers& members,
                                   BootClock::time_point now) {
-  Refill(members, 0, now);
+  Refill(members, now);
   return units_;
 }
 
@@ -68,7 +69,8 @@
   // otherwise its account could never send it. The bucket then goes below
   // zero.
   const double least = std::min(request.needed, limit_.burst);
-  Refill(members, least, now);
+  saving_for_ = least;
+  Refill(members, now);
   const double wanted = std::max(request.needed, request.wanted);
   const double demand = RecordDemand(host, wanted, now);
   const double rate = limit_.per_second * members.Share();
@@ -83,6 +85,7 @@
   const double fair = demand > units_ ? units_ * wanted / demand : wanted;
   grant.units = std::max(request.needed, std::min(wanted, fair));
   units_ -= grant.units;
+  saving_for_ = 0;
   return grant;
 }
 
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -95,7 +95,7 @@
   /// Does not share cached prompt parts with other accounts.
   bool is_isolated = false;
   /// None without a limit.
-  std::optional<Allowance> allowance;
+  std::optional<Allowance> allowance = std::nullopt;
 };
 
 /// Size and time limits for callers.
--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -319,6 +319,21 @@
   return kNone;
 }
 
+void RunnerProtocol::ReleaseStartPlace(RuntimeClock::time_point now) {
+  if (!start_place_) return;
+  Runner& runner = *choice_.runner;
+  const std::uint64_t desired =
+      fleet_.DesiredWeightsOf(routed_.request.model).version();
+  const bool is_loading = runner.switching_until > prompt_.sent_at() ||
+                          choice_.weights_version.value_or(desired) < desired;
+  // A wait for weights says nothing about the load.
+  if (!is_loading) {
+    start_place_->OnStarted(choice_.uncached_tokens, now - prompt_.sent_at(),
+                            runner.EstimatedLoad(now));
+  }
+  start_place_.reset();
+}
+
 void RunnerProtocol::OnBegan() {
   if (!is_waiting_) return;
   is_waiting_ = false;
@@ -369,10 +384,7 @@
     RecordOlderRun(facts);
     OnBegan();
     if (facts.pace_percent) RecordFirstEvent(now);
-    if (start_place_) {
-      start_place_->OnStarted(choice_.uncached_tokens, now - prompt_.sent_at(),
-                              runner.EstimatedLoad(now));
-    }
+    ReleaseStartPlace(now);
     if (ContinuesStream(answer) && !relay_) relay_.emplace(std::nullopt);
     runner.ClearSuspicion();
     metrics_.first_byte.Record(now - routed_.started);
--- a/src/fleet/runner_protocol.h
+++ b/src/fleet/runner_protocol.h
@@ -164,6 +164,8 @@
   std::chrono::nanoseconds ExtendWait();
   // The run began with a success.
   void OnBegan();
+  // Gives up the place of a request whose run has started.
+  void ReleaseStartPlace(RuntimeClock::time_point now);
   // The request no longer waits for its run to begin.
   void EndWait();
   void LogWithdrawal() const;
