--- a/src/fleet/fleet_frontend.cc
+++ b/src/fleet/fleet_frontend.cc
@@ -248,7 +248,9 @@
   ForwardResult refused;
   refused.kind = ForwardResult::Kind::kFailed;
   auto error = co_await ChargeAllowance(routed, charge);
-  if (!error) error = co_await WaitForAdmission(routed, protocol);
+  if (!error) {
+    error = co_await WaitForAdmission(routed, protocol);
+  }
   const bool is_outdated =
       !error && charge && charge->IsOutdated(BootClock::now());
   if (is_outdated) {
