--- a/tests/src/process-allowance.cpp
+++ b/tests/src/process-allowance.cpp
@@ -46,6 +46,7 @@
   void Load(const std::vector<int>& routers, milliseconds duration) {
     constexpr int kCallers = 9;
     std::vector<std::thread> threads;
+    threads.reserve(kCallers);
     const auto end = Clock::now() + duration;
     for (int i = 0; i < kCallers; ++i) {
       threads.emplace_back([&, i] {
--- a/tests/src/unit-start_window.cpp
+++ b/tests/src/unit-start_window.cpp
@@ -64,7 +64,7 @@
       for (int host = 0; host < kHosts; ++host) {
         while (windows_[host].Room(waiting_[host]) > 0) {
           ++waiting_[host];
-          queue_.push_back({host, now_});
+          queue_.emplace_back(host, now_);
         }
       }
       due_ += starts_per_second * 0.01;
@@ -155,8 +155,7 @@
 
  private:
   net::asio::awaitable<void> Run(WaitingRequest request, std::size_t number) {
-    auto entered =
-        co_await line_.Enter(std::move(request), [this] { return obstacle_; });
+    auto entered = co_await line_.Enter(request, [this] { return obstacle_; });
     outcomes_[number].emplace(std::move(entered));
   }
 };
@@ -164,6 +163,7 @@
 // Guards against a request that is not woken when a place becomes free.
 TEST_F(AdmissionLineTest, TheMostUrgentWaitingRequestGetsAFreePlace) {
   std::vector<std::size_t> first;
+  first.reserve(static_cast<std::size_t>(StartWindow::kInitial));
   for (int i = 0; i < static_cast<int>(StartWindow::kInitial); ++i) {
     first.push_back(Enter(Request(2, seconds(60))));
   }
