--- a/include/beryllane/quarantine/crash_attribution.h
+++ b/include/beryllane/quarantine/crash_attribution.h
@@ -55,10 +55,6 @@
   /// was sent after the crash before it. Targets that fail together for
   /// another reason are one element.
   std::size_t min_successive_crashes = 2;
-  /// A request counts as sent after a crash only this long after it: hosts in
-  /// other regions notice later that a target has failed, and send to others
-  /// that failed at the same time meanwhile.
-  std::chrono::nanoseconds min_crash_gap = std::chrono::milliseconds(250);
   /// Reports on one incarnation of a target within this time of each other
   /// belong to one crash. Later ones concern a newer incarnation that the
   /// reporting host did not know yet.
--- a/src/coordination/crash_attribution.cc
+++ b/src/coordination/crash_attribution.cc
@@ -64,8 +64,7 @@
     for (const auto& [key, suspect] : crash.suspects) {
       Evidence& evidence = evidence_by_key[key];
       const bool is_successive =
-          evidence.crashes == 0 ||
-          suspect.sent_at > evidence.last_crash + options_.min_crash_gap;
+          evidence.crashes == 0 || suspect.sent_at > evidence.last_crash;
       if (is_successive) {
         ++evidence.successive_crashes;
         evidence.last_crash = crash.at;
