--- a/review/lab-2/lab.h
+++ b/review/lab-2/lab.h
@@ -390,6 +390,20 @@
     const std::lock_guard lock(mutex_);
     PutLocked(topic, key, value);
   }
+  // While it is away, all calls get 503.
+  void SetAway(bool is_away) { is_away_ = is_away; }
+  // Takes the copy from which `Restore` returns.
+  void Copy() {
+    const std::lock_guard lock(mutex_);
+    copy_ = topics_;
+  }
+  // The store is as it was when the copy was made, in a new era.
+  void Restore() {
+    const std::lock_guard lock(mutex_);
+    topics_ = copy_;
+    ++era_;
+    changed_.notify_all();
+  }
 
  private:
   struct Topic {
@@ -443,7 +457,14 @@
   void Serve(Channel& channel) {
     Message request;
     while (channel.Read(request, NowMs() + 60000) == ReadEnd::kOk) {
-      if (!channel.Send(Answer(request))) return;
+      const std::string answer = is_away_ ? Reply(503, "{}") : Answer(request);
+      // All answers name the era.
+      const std::size_t at = answer.find("\r\n") + 2;
+      const bool is_sent =
+          channel.Send(answer.substr(0, at) +
+                       Format("Store-Era: %d\r\n", era_.load()) +
+                       answer.substr(at));
+      if (!is_sent) return;
     }
   }
   std::string Answer(const Message& request) {
@@ -512,6 +533,9 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   std::map<std::string, Topic> topics_;
+  std::map<std::string, Topic> copy_;
+  std::atomic<bool> is_away_{false};
+  std::atomic<int> era_{1};
 };
 
 // A runner, or an instance of a plain service.
@@ -880,6 +904,11 @@
       }
     });
   }
+  // The runner writes its entry no more.
+  void Silence(Runner& runner) {
+    const std::lock_guard lock(mutex_);
+    listed_.erase(runner.id);
+  }
   // The runner leaves the list, and writes there no more.
   void Unlist(Runner& runner) {
     const std::lock_guard lock(mutex_);
