--- a/review/lab-2/lab.h
+++ b/review/lab-2/lab.h
@@ -796,6 +796,7 @@
   // 0 if the channel ended, or nothing came in time, before a whole answer.
   int status = 0;
   bool has_timed_out = false;
+  std::string start;  // first line of the answer
   std::string seal;
   std::string body;
   std::string text;
@@ -832,6 +833,7 @@
     channel.Close();
     return outcome;
   }
+  outcome.start = answer.start;
   outcome.status = answer.Status();
   outcome.seal = answer.Get("Response-Seal");
   outcome.body = answer.body;
