--- a/review/lab-2/lab.h
+++ b/review/lab-2/lab.h
@@ -378,12 +378,19 @@
   Store() = default;
   Store(const Store&) = delete;
   Store& operator=(const Store&) = delete;
-  ~Store() { server_.Stop(); }
+  ~Store() { server_->Stop(); }
 
   bool Listen(const std::string& ip) {
-    return server_.Listen(ip, 0, [this](Channel& c) { Serve(c); });
+    server_ = std::make_unique<Server>();
+    return server_->Listen(ip, 0, [this](Channel& c) { Serve(c); });
   }
-  const Server& server() const { return server_; }
+  // It goes on at another address, with all that it holds.
+  bool Move() {
+    const std::string ip = server_->ip();
+    server_->Stop();
+    return Listen(ip);
+  }
+  const Server& server() const { return *server_; }
   // A record of the operator or a runner. An empty value deletes the key.
   void Put(const std::string& topic, const std::string& key,
            const std::string& value) {
@@ -529,7 +536,7 @@
     return Reply(404, "{}");
   }
 
-  Server server_;
+  std::unique_ptr<Server> server_;
   std::mutex mutex_;
   std::condition_variable changed_;
   std::map<std::string, Topic> topics_;
@@ -917,6 +924,10 @@
     listed_.erase(runner.id);
     runner.Remove();
   }
+  // The store goes on at another address.
+  void MoveStore() {
+    if (!store.Move()) Fail("the store cannot listen");
+  }
   // A router that is not started yet.
   Router& AddRouter(const std::string& name, const std::string& zone) {
     auto router = std::make_unique<Router>();
