--- a/review/10/case.cc
+++ b/review/10/main.cxx
@@ -1,5 +1,5 @@
 // A runner's status that is not in the router's table reaches the client as 0.
-#include "../lab-2/lab.h"
+#include "../lab-2/lab.hpp"
 
 namespace {
 
--- a/review/6/case.cc
+++ b/review/6/main.cxx
@@ -1,5 +1,5 @@
 // A booking that has run and failed with 503 is passed on as a refusal.
-#include "../lab-2/lab.h"
+#include "../lab-2/lab.hpp"
 
 namespace {
 
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for source in review/[0-9]*/case.cc; do
+for source in review/[0-9]*/main.cxx; do
   number=$(basename "$(dirname "$source")")
   g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "target/review-2/case-$number" \
     "$source"
--- a/review/lab-2/lab.h
+++ b/review/lab-2/lab.hpp
@@ -1,8 +1,8 @@
 // Small stand-ins for the cases of the second review: the platform's store,
 // runners and clients as threads of one process, and the router's processes.
 // Only POSIX and the standard library. Every address is a loopback address.
-#ifndef REVIEW_LAB_2_LAB_H_
-#define REVIEW_LAB_2_LAB_H_
+#ifndef REVIEW_LAB_2_LAB_HPP_
+#define REVIEW_LAB_2_LAB_HPP_
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -1025,4 +1025,4 @@
 
 }  // namespace lab
 
-#endif  // REVIEW_LAB_2_LAB_H_
+#endif  // REVIEW_LAB_2_LAB_HPP_
