--- a/review/10/main.cxx
+++ b/review/10/main.cxx
@@ -70,8 +70,7 @@
                 outcome.seal.empty() ? "none" : outcome.seal.c_str()));
     const std::lock_guard lock(mutex);
     const auto gave = given.find({id, outcome.seal});
-    const bool is_other =
-        gave != given.end() && gave->second != outcome.status;
+    const bool is_other = gave != given.end() && gave->second != outcome.status;
     if (is_other) {
       ++broken;
       Note(Format("%s bears the seal of an answer with status %d", id.c_str(),
--- a/review/6/main.cxx
+++ b/review/6/main.cxx
@@ -44,14 +44,14 @@
             ++seen.charges[request.body];
           }
           const bool has_failed = is_grey && ++*count % 3 == 0;
-          Note(Format("%s runs %s (%s)%s", self.id.c_str(), attempt.c_str(),
-                      request.body.c_str(),
-                      has_failed ? " and answers 503 without Not-Executed"
-                                 : ""));
-          return channel.Send(Reply(has_failed ? 503 : 200,
-                                    has_failed ? "the printer is offline"
-                                               : "booked " + request.body,
-                                    self.Headers(request), "text/plain"));
+          Note(Format(
+              "%s runs %s (%s)%s", self.id.c_str(), attempt.c_str(),
+              request.body.c_str(),
+              has_failed ? " and answers 503 without Not-Executed" : ""));
+          return channel.Send(Reply(
+              has_failed ? 503 : 200,
+              has_failed ? "the printer is offline" : "booked " + request.body,
+              self.Headers(request), "text/plain"));
         });
   }
   site->StartHeartbeats();
@@ -94,9 +94,10 @@
   for (const auto& [id, status] : promised) {
     if (seen.runs[id] == 0) continue;
     ++broken;
-    Note(Format("%s was answered %d, which promises that it has not run, and "
-                "has run",
-                id.c_str(), status));
+    Note(
+        Format("%s was answered %d, which promises that it has not run, and "
+               "has run",
+               id.c_str(), status));
   }
   int doubled = 0;
   for (const auto& [booking, runs] : seen.charges) {
--- a/review/lab-2/lab.hpp
+++ b/review/lab-2/lab.hpp
@@ -72,7 +72,8 @@
 // The record of a run: one line an event, with the time since the start.
 class Record {
  public:
-  explicit Record(const std::string& path) : file_(std::fopen(path.c_str(), "w")) {}
+  explicit Record(const std::string& path)
+      : file_(std::fopen(path.c_str(), "w")) {}
   void Line(const std::string& text) {
     const std::lock_guard lock(mutex_);
     if (file_ == nullptr) return;
@@ -357,8 +358,10 @@
 inline std::string Reply(int status, const std::string& body,
                          const std::string& headers = "",
                          const std::string& type = "application/json") {
-  return Format("HTTP/1.1 %d X\r\nContent-Type: %s\r\nContent-Length: %zu\r\n%s\r\n",
-                status, type.c_str(), body.size(), headers.c_str()) +
+  return Format(
+             "HTTP/1.1 %d X\r\nContent-Type: %s\r\nContent-Length: "
+             "%zu\r\n%s\r\n",
+             status, type.c_str(), body.size(), headers.c_str()) +
          body;
 }
 
@@ -467,10 +470,9 @@
       const std::string answer = is_away_ ? Reply(503, "{}") : Answer(request);
       // All answers name the era.
       const std::size_t at = answer.find("\r\n") + 2;
-      const bool is_sent =
-          channel.Send(answer.substr(0, at) +
-                       Format("Store-Era: %d\r\n", era_.load()) +
-                       answer.substr(at));
+      const bool is_sent = channel.Send(
+          answer.substr(0, at) + Format("Store-Era: %d\r\n", era_.load()) +
+          answer.substr(at));
       if (!is_sent) return;
     }
   }
@@ -483,9 +485,8 @@
     if (path == "/api/log-read") {
       const std::uint64_t from = std::stoull("0" + QueryOf(target, "from"));
       const std::int64_t wait = std::stoll("0" + QueryOf(target, "waitMs"));
-      changed_.wait_for(lock, std::chrono::milliseconds(wait), [&] {
-        return from < topics_[topic].records.size();
-      });
+      changed_.wait_for(lock, std::chrono::milliseconds(wait),
+                        [&] { return from < topics_[topic].records.size(); });
       const Topic& t = topics_[topic];
       if (from > t.records.size()) return Reply(410, "{\"first\":0}");
       std::string body = BigEndian(t.records.size(), 8) + BigEndian(0, 8);
@@ -511,10 +512,10 @@
                         static_cast<unsigned long long>(it->second.first),
                         Base64(it->second.second).c_str());
       }
-      return Reply(200, Format("{\"items\":[%s],\"more\":%s,\"end\":%zu}",
-                               items.c_str(),
-                               it == t.newest.end() ? "false" : "true",
-                               t.records.size()));
+      return Reply(
+          200,
+          Format("{\"items\":[%s],\"more\":%s,\"end\":%zu}", items.c_str(),
+                 it == t.newest.end() ? "false" : "true", t.records.size()));
     }
     if (path == "/api/log-append") {
       Topic& t = topics_[topic];
@@ -522,13 +523,13 @@
       if (!at.empty() && std::stoull(at) != t.records.size()) {
         return Reply(412, Format("{\"end\":%zu}", t.records.size()));
       }
-      const std::string content = request.body.substr(
-          std::min<std::size_t>(4, request.body.size()));
+      const std::string content =
+          request.body.substr(std::min<std::size_t>(4, request.body.size()));
       if (content.empty()) return Reply(400, "{}");
       const auto length = static_cast<unsigned char>(content[0]);
       if (content.size() < 1U + length) return Reply(400, "{}");
-      const std::uint64_t offset = PutLocked(
-          topic, content.substr(1, length), content.substr(1U + length));
+      const std::uint64_t offset = PutLocked(topic, content.substr(1, length),
+                                             content.substr(1U + length));
       return Reply(200, Format("{\"offset\":%llu,\"end\":%zu}",
                                static_cast<unsigned long long>(offset),
                                t.records.size()));
@@ -632,8 +633,7 @@
                               "\"events\":[]}",
                               since.empty() ? "0" : since.c_str())));
       } else if (path == "/health") {
-        is_open = channel.Send(
-            Reply(200, "{}", "Instance-Id: " + id + "\r\n"));
+        is_open = channel.Send(Reply(200, "{}", "Instance-Id: " + id + "\r\n"));
       } else if (path == "/api/order") {
         ++orders;
         is_open = channel.Send(Reply(202, "{}"));
@@ -701,8 +701,7 @@
         "keep_s = 20\npartMb = 200\nttlMinMs = 1000\n",
         name.c_str(), ip.c_str(), zone.c_str(), region.c_str(), first_internal,
         first_internal + 15, zones.c_str(), ip.c_str(), front, ip.c_str(),
-        ready, ip.c_str(), control, memory_mb, drain_timeout_ms,
-        store.c_str());
+        ready, ip.c_str(), control, memory_mb, drain_timeout_ms, store.c_str());
     std::fclose(file);
     std::rename((path + ".new").c_str(), path.c_str());
   }
@@ -746,8 +745,7 @@
     pid_ = -1;
   }
   double MemoryMb() const {
-    std::FILE* file =
-        std::fopen(Format("/proc/%d/status", pid_).c_str(), "r");
+    std::FILE* file = std::fopen(Format("/proc/%d/status", pid_).c_str(), "r");
     if (file == nullptr) return 0;
     char line[256];
     double mb = 0;
@@ -819,11 +817,12 @@
   const std::string length =
       method == "GET" ? "" : Format("Content-Length: %zu\r\n", body.size());
   const std::string wire =
-      Format("%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\n"
-             "Deadline-Ms: %lld\r\nCredential: %s\r\n%s%s\r\n",
-             method.c_str(), path.c_str(), host.c_str(), id.c_str(),
-             static_cast<long long>(deadline_ms), key.c_str(),
-             headers.c_str(), length.c_str()) +
+      Format(
+          "%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\n"
+          "Deadline-Ms: %lld\r\nCredential: %s\r\n%s%s\r\n",
+          method.c_str(), path.c_str(), host.c_str(), id.c_str(),
+          static_cast<long long>(deadline_ms), key.c_str(), headers.c_str(),
+          length.c_str()) +
       body;
   if (!channel.Send(wire)) {
     outcome.text = "the channel was closed before the request was sent";
