--- a/review/6/main.cxx
+++ b/review/6/main.cxx
@@ -5,6 +5,8 @@
 
 using namespace lab;
 
+constexpr int kGreyMs = 6000;
+
 constexpr const char* kTenants =
     "[{\"name\":\"workshop\",\"apiKeys\":[\"key-of-workshop\"],"
     "\"isolated\":false}]";
@@ -23,6 +25,8 @@
   Record record(argv[2]);
   TheRecord() = &record;
   const bool has_trouble = HasTrouble();
+  // Until then the one runner fails part of its requests.
+  std::atomic<std::int64_t> grey_until{0};
   Seen seen;
   auto site = std::make_unique<Site>(directory);
   site->store.Put("keyed.op", "config", Site::Config(1, kTenants));
@@ -34,7 +38,7 @@
     const bool is_grey = has_trouble && i == 2;
     site->AddRunner(
         id, "birou-comenzi", zones[i], "", 6,
-        [&seen, is_grey, count = std::make_shared<std::atomic<int>>(0)](
+        [&seen, &grey_until, is_grey, count = std::make_shared<std::atomic<int>>(0)](
             Runner& self, const Message& request, Channel& channel) {
           const std::string attempt = request.Get("Attempt-Id");
           SleepMs(15);
@@ -43,7 +47,8 @@
             ++seen.runs[attempt];
             ++seen.charges[request.body];
           }
-          const bool has_failed = is_grey && ++*count % 3 == 0;
+          const bool has_failed =
+              is_grey && NowMs() < grey_until && ++*count % 3 == 0;
           Note(Format(
               "%s runs %s (%s)%s", self.id.c_str(), attempt.c_str(),
               request.body.c_str(),
@@ -60,6 +65,7 @@
   if (!router.WaitReady(15000)) site->Fail("the router is not ready");
   // The process has run for longer than `stableWindowMs`.
   SleepMs(4500);
+  grey_until = NowMs() + kGreyMs;
   int asked = 0;
   std::map<std::string, int> promised;
   Channel channel;
