--- a/review/10/main.cxx
+++ b/review/10/main.cxx
@@ -5,6 +5,8 @@
 
 using namespace lab;
 
+constexpr int kGreyMs = 6000;
+
 constexpr const char* kTenants =
     "[{\"name\":\"workshop\",\"apiKeys\":[\"key-of-workshop\"],"
     "\"isolated\":false}]";
@@ -19,6 +21,8 @@
   Record record(argv[2]);
   TheRecord() = &record;
   const bool has_trouble = HasTrouble();
+  // Until then the one runner fails part of its requests.
+  std::atomic<std::int64_t> grey_until{0};
   std::mutex mutex;
   // Status that the runner gave, by attempt and seal.
   std::map<std::pair<std::string, std::string>, int> given;
@@ -34,7 +38,8 @@
           const std::string id = request.Get("Attempt-Id");
           SleepMs(15);
           const int n = ++*count;
-          const int status = is_grey && n % 3 == 0 ? kStatuses[n / 3 % 3] : 200;
+          const bool has_failed = is_grey && NowMs() < grey_until && n % 3 == 0;
+          const int status = has_failed ? kStatuses[n / 3 % 3] : 200;
           const std::string headers = self.Headers(request);
           {
             const auto at = headers.find("Response-Seal: ") + 15;
@@ -55,6 +60,7 @@
   router.Start();
   if (!router.WaitReady(15000)) site->Fail("the router is not ready");
   SleepMs(4500);
+  grey_until = NowMs() + kGreyMs;
   int broken = 0;
   constexpr int kRequests = 60;
   Channel channel;
