--- a/src/caller/frontend.cc
+++ b/src/caller/frontend.cc
@@ -5,6 +5,7 @@
 
 #include "fmt/format.h"
 #include "src/caller/error_response.h"
+#include "src/net/percent_encoding.h"
 #include "src/telemetry/log.h"
 
 namespace beryllane::caller {
@@ -145,7 +146,7 @@
 
 awaitable<void> Frontend::HandleExplain(net::Exchange& exchange) {
   constexpr std::string_view kPathPrefix = "/explain/";
-  const std::string account(
+  const std::string account = net::PercentDecode(
       net::Target(exchange.request()).substr(kPathPrefix.size()));
   const std::string body = exchange.TakeBody();
   const bool is_chat = body.find("\"messages\"") != std::string::npos;
--- a/src/ctl/fleet_commands.cc
+++ b/src/ctl/fleet_commands.cc
@@ -5,6 +5,7 @@
 #include "fmt/format.h"
 #include "src/ctl/context.h"
 #include "src/ctl/log_explain.h"
+#include "src/net/percent_encoding.h"
 
 namespace beryllane::ctl {
 namespace {
@@ -98,7 +99,8 @@
   if (!body.ok()) co_return PrintError(body.error(), kNegative);
   const auto answer = co_await PostJson(
       context, context.options.routers.front(),
-      "/explain/" + context.options.account, body.value().dump());
+      "/explain/" + net::PercentEncode(context.options.account),
+      body.value().dump());
   if (!answer.ok()) co_return PrintError(answer.error(), kUnreachable);
   const json& decision = answer.value();
   if (context.options.as_json || decision.contains("error")) {
--- a/src/fleet/fleet_node.cc
+++ b/src/fleet/fleet_node.cc
@@ -199,6 +199,10 @@
   metrics_.AddCallbackGauge("beryllane_targets", "Targets on the list", [this] {
     return static_cast<double>(fleet_.targets().size());
   });
+  metrics_.AddCallbackGauge(
+      "beryllane_ignored_target_records",
+      "Records of targets that were not used because they are malformed",
+      [this] { return static_cast<double>(follower_.ignored_targets()); });
   metrics_.AddCallbackGauge(
       "beryllane_fleet_rank",
       "Routers with a smaller host id that this router hears",
--- a/src/fleet/store_follower.cc
+++ b/src/fleet/store_follower.cc
@@ -258,7 +258,8 @@
 
 awaitable<bool> StoreFollower::ReadTargets() {
   if (!targets_next_) {
-    auto page = co_await store_.ReadNewest(std::string(platform::kTargetTopic));
+    auto page = co_await store_.ReadNewest(std::string(platform::kTargetTopic),
+                                           platform::ListScope::kReadable);
     if (!page.ok()) co_return false;
     ApplyTargetSet(page.value());
     co_return true;
@@ -425,6 +426,7 @@
   }
   auto entry = platform::DecodeTarget(record.key, record.value);
   if (!entry.ok()) {
+    ++ignored_targets_;
     telemetry::Log(Level::kWarning, telemetry::event::kRecordIgnored,
                    {{"topic", "targets"},
                     {"key", record.key},
@@ -469,6 +471,10 @@
     if (!record.value.empty()) listed.insert(record.key);
     ApplyTarget(record);
   }
+  // Live targets that are not listed write again soon after the list was read.
+  if (!page.is_whole) {
+    reregistration_until_ = RuntimeClock::now() + kReregistrationTime;
+  }
   std::vector<std::string> missing;
   for (const auto& [id, runner] : fleet_.targets()) {
     if (!listed.contains(id)) missing.push_back(id);
@@ -476,7 +482,11 @@
   for (const std::string& id : missing) RemoveTarget(id);
   targets_next_ = page.next;
   relay_.SetEra(store_.era().number);
-  relay_.targets_tail().Reset(page);
+  if (page.is_whole) {
+    relay_.targets_tail().Reset(page);
+  } else {
+    relay_.targets_tail().Clear();
+  }
   has_targets_ = true;
 }
 
--- a/src/fleet/store_follower.h
+++ b/src/fleet/store_follower.h
@@ -51,6 +51,9 @@
   bool has_targets() const { return has_targets_; }
   /// Whether the last call to the store succeeded. @pre none.
   bool is_up() const { return is_up_; }
+  /// Records of targets that were not used because they are malformed. @pre
+  /// none.
+  std::uint64_t ignored_targets() const { return ignored_targets_; }
   /// Serves the records to other routers of the zone. @pre none.
   const RecordRelay& relay() const { return relay_; }
 
@@ -123,6 +126,7 @@
   std::optional<std::uint64_t> quarantine_next_;
   StoreBackoff backoff_;
   bool has_targets_ = false;
+  std::uint64_t ignored_targets_ = 0;
   bool is_up_ = true;
   std::optional<RuntimeClock::time_point> targets_failing_since_;
   // Targets whose entries expired during a store outage may register again
--- a/src/telemetry/log.h
+++ b/src/telemetry/log.h
@@ -35,6 +35,7 @@
 inline constexpr std::string_view kStoreUp = "store-up";
 inline constexpr std::string_view kStoreRestored = "store-restored";
 inline constexpr std::string_view kRecordIgnored = "record-ignored";
+inline constexpr std::string_view kListIncomplete = "list-incomplete";
 inline constexpr std::string_view kTargetChanged = "target-changed";
 inline constexpr std::string_view kTargetGone = "target-gone";
 inline constexpr std::string_view kWeightsNamed = "weights-named";
--- a/standins/support.cc
+++ b/standins/support.cc
@@ -1,10 +1,12 @@
 #include "standins/support.h"
 
+#include <algorithm>
 #include <boost/asio/signal_set.hpp>
 #include <cstdio>
 #include <cstdlib>
 
 #include "fmt/format.h"
+#include "src/net/percent_encoding.h"
 
 namespace beryllane::standins {
 namespace {
@@ -45,8 +47,10 @@
     const std::string_view pair = rest.substr(0, end);
     const std::size_t equals = pair.find('=');
     if (equals != std::string_view::npos) {
+      std::string value(pair.substr(equals + 1));
+      std::replace(value.begin(), value.end(), '+', ' ');
       parsed.query[std::string(pair.substr(0, equals))] =
-          pair.substr(equals + 1);
+          net::PercentDecode(value);
     }
     rest = end == std::string_view::npos ? "" : rest.substr(end + 1);
   }
--- /dev/null
+++ b/tests/src/process-odd_keys.cpp
@@ -0,0 +1,39 @@
+// Entries of another writer in the list of targets, under names of their own.
+#include <gtest/gtest.h>
+
+#include "fmt/format.h"
+#include "tests/support/platform_fleet.h"
+
+namespace beryllane::testing {
+namespace {
+
+using nlohmann::json;
+
+// Routers that started while such an entry stood never became ready.
+TEST(OddKeys, OfAnotherWriterKeepNoStartingRouterFromTheTargets) {
+  constexpr int kRouters = 2;
+  // The store lists less on a page, so each name is the last of one.
+  constexpr int kEach = 5;
+  PlatformFleet fleet(kRouters);
+  for (const char* odd :
+       {"&", "+", "#", "%41", " ", "=", "\"", "\\", "\n", "é"}) {
+    for (int i = 0; i < kEach; ++i) {
+      fleet.Put("keyed.servers", fmt::format("a{}b-{}", odd, i),
+                {{"state", "of another kind"}});
+    }
+  }
+  for (int i = 0; i < kRouters; ++i) fleet.router(i).Kill();
+  for (int i = 0; i < kRouters; ++i) fleet.StartRouter(i);
+  for (int i = 0; i < kRouters; ++i) {
+    ASSERT_TRUE(fleet.WaitReady(i));
+    EXPECT_EQ(fleet.Metric(i, "beryllane_targets"),
+              PlatformFleet::kRunners + PlatformFleet::kDesks);
+    const auto answer = fleet.Send(i, "/book/x", fmt::format("r{}", i));
+    ASSERT_TRUE(answer.ok());
+    EXPECT_EQ(answer.value().result_int(), 200U);
+  }
+  EXPECT_GT(fleet.Metric(0, "beryllane_ignored_target_records"), 0);
+}
+
+}  // namespace
+}  // namespace beryllane::testing
