--- a/tests/src/unit-store_list.cpp
+++ b/tests/src/unit-store_list.cpp
@@ -3,9 +3,11 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <nlohmann/json.hpp>
 #include <set>
 
 #include "fmt/format.h"
+#include "platform/config_codec.h"
 #include "platform/store_client.h"
 #include "src/caller/error_response.h"
 #include "src/net/http_server.h"
@@ -15,6 +17,8 @@
 namespace beryllane::platform {
 namespace {
 
+using nlohmann::json;
+
 // How a store writes a key that is not UTF-8.
 enum class KeyText { kRaw, kSurrogates };
 
@@ -164,5 +168,21 @@
   EXPECT_EQ(Unreadable(), 4);
 }
 
+// An id became part of a head as it was, so that it could add lines to it.
+TEST(TargetIds, ThatCannotStandInAHeadNameNoTarget) {
+  const json value{{"service", "desk"},
+                   {"address", "10.0.0.1:80"},
+                   {"zone", "a"},
+                   {"slots", 1},
+                   {"state", "ready"}};
+  for (const char* id : {"i-7", "a&b", "a b", "a%41", "a+b#c"}) {
+    EXPECT_TRUE(DecodeTarget(id, value.dump()).ok()) << id;
+  }
+  for (const char* id : {"", " a", "a ", "a\r\nX: y", "a\nb", "a\tb", "a\x7f",
+                         "a\xff", "\xc3\xa9"}) {
+    EXPECT_FALSE(DecodeTarget(id, value.dump()).ok()) << id;
+  }
+}
+
 }  // namespace
 }  // namespace beryllane::platform
