Believe no end of an answer whose request met a reset

Callers saw: a part of a body as a complete 200. The target had answered a long upload at once, without a length, and reset the connection while the upload was still being written. Cause: the system reports a reset once. The operation that sends the request met it; the reader then saw an orderly end, which ends a body without a length. Change: such an end counts only if the sending has not failed, and for a success only once the request was sent whole. The reader first lets completions that are queued run: the one of the sending may stand behind its own.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -9,6 +9,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <charconv>
@@ -55,6 +57,14 @@
 }  // namespace
 
 struct AnswerStream::Connection {
+  enum class Upload {
+    kWritten,
+    // Part of the request is still to be sent.
+    kPending,
+    // An error ended the sending.
+    kFailed,
+  };
+
   Address address;
   tcp::socket socket;
   beast::flat_buffer buffer{kMaxUnparsedBytes};
@@ -63,8 +73,8 @@
   bool is_new = true;
   // Whether its peer may leave what was sent unacknowledged for longer.
   bool is_patient = false;
-  // False while part of a request is still to be sent.
-  bool is_written = true;
+  // How far the newest request was sent.
+  Upload upload = Upload::kWritten;
 
   Connection(Address at, tcp::socket open)
       : address(std::move(at)), socket(std::move(open)) {}
@@ -224,12 +234,31 @@
   is_out_of_time_ = code && connection_->watchdog.has_expired();
   if (code != asio::error::eof) co_return code;
   if (!parser_->got_some()) co_return http::error::end_of_stream;
+  if (connection_->upload == Connection::Upload::kPending) {
+    // The sending may have failed without having completed yet.
+    co_await asio::post(connection_->socket.get_executor(),
+                        asio::use_awaitable);
+  }
+  if (!MayEndAnswer()) co_return asio::error::connection_reset;
   // The end of the connection may also be the end of the answer.
   error_code at_end;
   parser_->put_eof(at_end);
   co_return at_end;
 }
 
+bool AnswerStream::MayEndAnswer() const {
+  constexpr int kMultipleChoices = 300;
+  switch (connection_->upload) {
+    case Connection::Upload::kWritten:
+      return true;
+    case Connection::Upload::kPending:
+      return status() >= kMultipleChoices;
+    case Connection::Upload::kFailed:
+      return false;
+  }
+  return false;
+}
+
 asio::awaitable<error_code> AnswerStream::ReceiveBody() {
   error_code code;
   do {
@@ -261,11 +290,12 @@
     co_return ToError(code, what, ExchangeStage::kResponseStarted);
   }
   std::string part = std::exchange(body, std::string());
-  const bool is_reusable = part.empty() && connection_ && is_reusable_ &&
-                           parser_->keep_alive() && !parser_->need_eof() &&
-                           connection_->is_written &&
-                           connection_->buffer.size() == 0 &&
-                           (!options_.may_reuse || options_.may_reuse());
+  const bool is_reusable =
+      part.empty() && connection_ && is_reusable_ && parser_->keep_alive() &&
+      !parser_->need_eof() &&
+      connection_->upload == Connection::Upload::kWritten &&
+      connection_->buffer.size() == 0 &&
+      (!options_.may_reuse || options_.may_reuse());
   if (is_reusable) {
     connection_->idle_until = RuntimeClock::now() + IdleLimit();
     connection_->is_new = false;
@@ -380,8 +410,7 @@
     if (is_long) RestoreWhenAcknowledged(answer.connection_);
     return Done{};
   }
-  // A failure shows when the answer is read.
-  answer.connection_->is_written = false;
+  answer.connection_->upload = Connection::Upload::kPending;
   SendRest(answer.connection_, std::move(wire), sent);
   return Done{};
 }
@@ -413,21 +442,21 @@
                           std::size_t sent) {
   tcp::socket& socket = connection->socket;
   const auto rest = asio::buffer(*wire) + sent;
-  asio::async_write(socket, rest,
-                    [connection = std::move(connection), wire = std::move(wire),
-                     sent](const error_code& failure, std::size_t bytes) {
-                      // The watchdog of a wait that goes on has cancelled this,
-                      // too.
-                      const bool is_cancelled =
-                          failure == asio::error::operation_aborted &&
-                          connection->socket.is_open();
-                      if (is_cancelled) {
-                        SendRest(connection, wire, sent + bytes);
-                      } else {
-                        connection->is_written = !failure;
-                        RestoreWhenAcknowledged(connection);
-                      }
-                    });
+  asio::async_write(
+      socket, rest,
+      [connection = std::move(connection), wire = std::move(wire), sent](
+          const error_code& failure, std::size_t bytes) {
+        // The watchdog of a wait that goes on has cancelled this, too.
+        const bool is_cancelled = failure == asio::error::operation_aborted &&
+                                  connection->socket.is_open();
+        if (is_cancelled) {
+          SendRest(connection, wire, sent + bytes);
+        } else {
+          connection->upload = failure ? Connection::Upload::kFailed
+                                       : Connection::Upload::kWritten;
+          RestoreWhenAcknowledged(connection);
+        }
+      });
 }
 
 asio::awaitable<Result<std::unique_ptr<AnswerStream>>> HttpClient::Open(
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -101,8 +101,14 @@
   // Receives bytes until `limit` or the end of the call's time, which sets
   // `is_out_of_time_`.
   asio::awaitable<error_code> Receive(RuntimeClock::time_point limit);
-  // The same with `answer_timeout` as the limit, which is extended if the
-  // caller wants it.
+  // Whether the orderly end that the socket reports may be the end of a body
+  // without a length. The system reports a reset once: after the operation that
+  // sends the request has met it, the socket reads as closed in order. A peer
+  // that closes while it sends a success has not read the whole request, so the
+  // success is not believed.
+  bool MayEndAnswer() const;
+  // The same as `Receive` with `answer_timeout` as the limit, which is extended
+  // if the caller wants it.
   asio::awaitable<error_code> ReceiveBody();
   // Whether the wait that has just expired goes on; sets its new limit.
   bool ExtendWait();
--- a/tests/src/unit-early_answer.cpp
+++ b/tests/src/unit-early_answer.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
+#include <optional>
 #include <string>
 
 #include "src/net/http_client.h"
@@ -93,6 +94,57 @@
     loop_.stop();
   }
 
+  // Answers after a part of the request, without a length, and ends in the
+  // given way.
+  enum class End { kReset, kClose, kWholeRequestRead };
+  asio::awaitable<void> AnswerWithoutLength(std::string head, End end,
+                                            milliseconds pause) {
+    constexpr std::size_t kPart = 300000;
+    constexpr int kReceiveBytes = 65536;
+    tcp::socket socket = co_await early_.async_accept(asio::use_awaitable);
+    socket.set_option(asio::socket_base::receive_buffer_size(kReceiveBytes));
+    std::string received;
+    co_await asio::async_read(socket, asio::dynamic_buffer(received),
+                              asio::transfer_at_least(kPart), kAsTuple);
+    co_await asio::async_write(socket, asio::buffer(head + "\r\n\r\npart"),
+                               kAsTuple);
+    if (end == End::kWholeRequestRead) {
+      const std::size_t size = received.find(kHeadEnd) + kHeadEnd.size() +
+                               Body().size() - received.size();
+      co_await asio::async_read(socket, asio::dynamic_buffer(received),
+                                asio::transfer_at_least(size), kAsTuple);
+    }
+    co_await Sleep(pause);
+    error_code ignored;
+    if (end == End::kReset) {
+      socket.set_option(asio::socket_base::linger(true, 0), ignored);
+      socket.close(ignored);
+      co_return;
+    }
+    socket.shutdown(tcp::socket::shutdown_send, ignored);
+    co_await Sleep(milliseconds(200));
+  }
+  asio::awaitable<void> Upload() {
+    const Address address{"127.0.0.1", early_.local_endpoint().port()};
+    Request request =
+        MakeRequest(http::verb::post, "/early", Body(), "text/plain");
+    answer_ = co_await client_.Call(address, std::move(request), {});
+    loop_.stop();
+  }
+  // The status of the answer to a long request; 0 if it is no whole answer.
+  unsigned StatusOf(const std::string& status, End end, milliseconds pause) {
+    answer_.reset();
+    loop_.restart();
+    asio::co_spawn(loop_, AnswerWithoutLength("HTTP/1.1 " + status, end, pause),
+                   asio::detached);
+    asio::co_spawn(loop_, Upload(), asio::detached);
+    loop_.run_for(std::chrono::seconds(10));
+    EXPECT_TRUE(answer_.has_value());
+    if (!answer_ || !answer_->ok()) return 0;
+    EXPECT_EQ(answer_->value().body(), "part");
+    return answer_->value().result_int();
+  }
+
   asio::io_context loop_{1};
   tcp::acceptor early_;
   tcp::acceptor other_;
@@ -100,6 +152,7 @@
   int partial_requests_ = 0;
   int damaged_ = 0;
   int answered_ = 0;
+  std::optional<Result<Response>> answer_;
 };
 
 // The rest of a refused request was written to the next request's connection.
@@ -114,5 +167,25 @@
   EXPECT_EQ(answered_, 2 * kTimes);
 }
 
+// The reset was told to the operation that sent the request, and the end of the
+// connection then passed as the end of the body.
+TEST_F(EarlyAnswer, ThatIsResetWhileTheRequestIsSentIsNotWhole) {
+  for (const int pause_ms : {0, 5, 30}) {
+    for (const char* status : {"200 OK", "413 Too Large", "500 Failed"}) {
+      SCOPED_TRACE(::testing::Message() << status << " " << pause_ms << " ms");
+      EXPECT_EQ(StatusOf(status, End::kReset, milliseconds(pause_ms)), 0U);
+    }
+  }
+}
+
+TEST_F(EarlyAnswer, ThatIsClosedWhileTheRequestIsSentIsNoWholeSuccess) {
+  EXPECT_EQ(StatusOf("200 OK", End::kClose, milliseconds(5)), 0U);
+  EXPECT_EQ(StatusOf("413 Too Large", End::kClose, milliseconds(5)), 413U);
+}
+
+TEST_F(EarlyAnswer, ThatIsClosedOnceTheRequestWasReadIsWhole) {
+  EXPECT_EQ(StatusOf("200 OK", End::kWholeRequestRead, milliseconds(5)), 200U);
+}
+
 }  // namespace
 }  // namespace beryllane::net
