Pass on the status of answers as a number

Cause: heads were built from an enumeration that is 0 for codes without a name. Change: code and reason phrase are copied as they came. Answers with a status below 100 or above 599 are no answers; those below 100 were skipped as interim ones, with their body read as the next answer. CutAnswers.WithALineThatIsNoField, for names of fields with blanks and control bytes, passes with both clients.

--- a/src/caller/service_protocol.cc
+++ b/src/caller/service_protocol.cc
@@ -110,7 +110,9 @@
 
 net::http::response<net::http::empty_body> ServiceProtocol::StreamHead(
     const net::AnswerStream& response, const Target& /*target*/) const {
-  return {response.head().result(), net::kHttp11};
+  net::http::response<net::http::empty_body> head;
+  net::CopyStatus(response.head(), head);
+  return head;
 }
 
 net::Response ServiceProtocol::BufferedResponse(
--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -625,8 +625,8 @@
 
 net::http::response<net::http::empty_body> RunnerProtocol::StreamHead(
     const net::AnswerStream& answer, const Target& /*target*/) const {
-  net::http::response<net::http::empty_body> head(answer.head().result(),
-                                                  net::kHttp11);
+  net::http::response<net::http::empty_body> head;
+  net::CopyStatus(answer.head(), head);
   platform::CopyAnswerHeaders(answer.head(), head);
   return head;
 }
@@ -634,7 +634,8 @@
 net::Response RunnerProtocol::BufferedResponse(const net::AnswerStream& answer,
                                                std::string body,
                                                const Target& /*target*/) const {
-  net::Response response(answer.head().result(), net::kHttp11);
+  net::Response response;
+  net::CopyStatus(answer.head(), response);
   platform::CopyAnswerHeaders(answer.head(), response);
   response.body() = std::move(body);
   return response;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -120,7 +120,9 @@
 }
 
 asio::awaitable<Result<Done>> AnswerStream::ReadHead() {
+  constexpr int kInterimStatus = 100;
   constexpr int kFinalStatus = 200;
+  constexpr int kInvalidStatus = 600;
   constexpr int kMaxInterimHeads = 8;
   const auto start = RuntimeClock::now();
   auto limit = start + options_.answer_timeout;
@@ -141,6 +143,15 @@
                           : "no answer: " + code.message();
       co_return ToError(code, what, ExchangeStage::kRequestWritten);
     }
+    const bool is_valid =
+        status() >= kInterimStatus && status() < kInvalidStatus;
+    if (!is_valid) {
+      co_return MakeError(ErrorId::kTargetAnswerInvalid, connection_->address,
+                          fmt::format("answered with status {:03}, which is "
+                                      "not from 100 to 599",
+                                      status()),
+                          ExchangeStage::kRequestWritten);
+    }
     if (options_.on_head) options_.on_head(head());
     if (status() >= kFinalStatus) co_return Done{};
     ResetParser();
--- a/src/net/http_types.h
+++ b/src/net/http_types.h
@@ -44,6 +44,14 @@
   return response;
 }
 
+/// Copies the status code, which need not have a name in `http::status`, and
+/// the reason phrase. @pre `from` was parsed. Thread-safe.
+inline void CopyStatus(const http::response_header<>& from,
+                       http::response_header<>& to) {
+  to.result(from.result_int());
+  to.reason(from.reason());
+}
+
 /// A header's value, empty where absent; the view lives as long as `message`.
 /// @pre none. Thread-safe.
 template <typename Message>
--- a/standins/runner_main.cc
+++ b/standins/runner_main.cc
@@ -59,8 +59,9 @@
   milliseconds repeat_report_after{-1};
   // Requests run and their connection closes without an answer.
   bool lose_answers = false;
-  // Requests run and fail.
+  // Requests run and fail, with this status.
   bool fail = false;
+  unsigned fail_status = 500;
   // An answer to another request comes first.
   bool answer_other = false;
   // Successes come without the seal.
@@ -155,6 +156,7 @@
                        std::int64_t{faults_.repeat_report_after.count()}));
       faults_.lose_answers = change.value("lose_answers", faults_.lose_answers);
       faults_.fail = change.value("fail", faults_.fail);
+      faults_.fail_status = change.value("fail_status", faults_.fail_status);
       faults_.answer_other = change.value("answer_other", faults_.answer_other);
       faults_.unsealed = change.value("unsealed", faults_.unsealed);
       faults_.silent = change.value("silent", faults_.silent);
@@ -314,7 +316,7 @@
     }
     if (faults_.fail) {
       net::Response failure = Answer(id, "failed");
-      failure.result(500);
+      failure.result(faults_.fail_status);
       co_await Respond(exchange, std::move(failure));
     } else if (faults_.resume_answer.is_object() &&
                !net::Header(request, "Last-Event-Id").empty()) {
--- a/tests/src/unit-cut_answers.cpp
+++ b/tests/src/unit-cut_answers.cpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <thread>
 
+#include "fmt/format.h"
 #include "src/net/http_client.h"
 #include "src/net/runtime.h"
 
@@ -216,5 +217,38 @@
   }
 }
 
+// An answer with status 000 was skipped as an interim one, and one with a
+// status that the library does not name was passed on as 000.
+TEST_F(CutAnswers, WithAStatusThatIsNone) {
+  for (const char* status : {"000", "001", "099", "600", "999"}) {
+    for (const char* body : {"Content-Length: 2\r\n\r\nok",
+                             "Content-Length: 0\r\n\r\n", "\r\nok"}) {
+      ForEachWay(
+          fmt::format("HTTP/1.1 {} X\r\n{}{}", status, body, kWholeAnswer),
+          [](const auto& got, bool /*reset*/) {
+            EXPECT_EQ(got, std::nullopt);
+          });
+    }
+  }
+}
+
+TEST_F(CutAnswers, WithALineThatIsNoField) {
+  for (const std::string& line :
+       {std::string("X Y: z"), std::string("X\tY: z"), std::string("X\x01: z"),
+        std::string("X\x7f: z"), std::string("X : z"), std::string("X\0: z", 5),
+        std::string(": z"), std::string("X"), std::string("\xc3\xa9: z"),
+        std::string("X(: z"), std::string("X: \x01z"), std::string("X: z\0", 5),
+        std::string("X: z\rY: z")}) {
+    for (const std::string& head :
+         {line + "\r\nContent-Length: 2", "Content-Length: 2\r\n" + line,
+          "X: y\r\n" + line}) {
+      ForEachWay("HTTP/1.1 200 OK\r\n" + head + "\r\n\r\nok",
+                 [](const auto& got, bool /*reset*/) {
+                   EXPECT_EQ(got, std::nullopt);
+                 });
+    }
+  }
+}
+
 }  // namespace
 }  // namespace beryllane::net
