Promise no caller that a request which ran once has not run

Cause: failures of targets were relayed with their status. 408, 429 and 503 promise that the request did not run, which only the target's proof shows. Change: without that proof, a request that may run only once gets 502 of the router, without the seal. Requests that may be repeated get the target's answer.

--- a/src/fleet/runner_protocol.cc
+++ b/src/fleet/runner_protocol.cc
@@ -45,6 +45,17 @@
   return error.id == ErrorId::kOverloaded && error.verdict == Verdict::kNotRun;
 }
 
+// Whether callers take this status as a promise that the request has not run
+// and will not. They may then send a request again that may run only once.
+// 421, which promises the same, is a proof by itself.
+bool PromisesNoRun(int status) {
+  constexpr int kRequestTimeout = 408;
+  constexpr int kTooManyRequests = 429;
+  constexpr int kServiceUnavailable = 503;
+  return status == kRequestTimeout || status == kTooManyRequests ||
+         status == kServiceUnavailable;
+}
+
 // Time since `start` in milliseconds; -1 if there is none.
 std::int64_t MillisSince(std::optional<RuntimeClock::time_point> start) {
   if (!start) return -1;
@@ -97,6 +108,10 @@
       unproven_refusals(registry.GetCounter(
           "beryllane_fleet_unproven_refusals_total",
           "Refusals that may have belonged to another request")),
+      unproven_promises(registry.GetCounter(
+          "beryllane_fleet_unproven_promises_total",
+          "Failures replaced because their status would have promised, "
+          "without a proof, that the request had not run")),
       older_weights_runs(registry.GetCounter(
           "beryllane_fleet_older_weights_runs_total",
           "Runs that began on weights older than the desired ones")),
@@ -409,6 +424,12 @@
              Verdict::kMayHaveRun};
     return {Classification::Kind::kFailed, std::move(error)};
   }
+  if (PromisesNoRun(facts.status) && !IsIdempotent()) {
+    metrics_.unproven_promises.Add();
+    error.message += " without proof that the request did not run";
+    if (!facts.is_sealed) error.verdict = Verdict::kMayHaveRun;
+    return {Classification::Kind::kFailed, std::move(error)};
+  }
   if (facts.status >= kServerErrors) {
     return {Classification::Kind::kFailedWithResponse, std::move(error)};
   }
--- a/src/fleet/runner_protocol.h
+++ b/src/fleet/runner_protocol.h
@@ -39,6 +39,7 @@
   Counter& pause_avoided;
   Counter& foreign_answers;
   Counter& unproven_refusals;
+  Counter& unproven_promises;
   Counter& older_weights_runs;
   Counter& withdrawn;
   LatencyHistogram& older_weights_lag;
--- a/tests/src/process-failed_runs.cpp
+++ b/tests/src/process-failed_runs.cpp
@@ -46,6 +46,22 @@
   int requests_ = 0;
 };
 
+// A 503 of a target that had run the request was passed on, and callers sent
+// the request again.
+TEST_F(FailedRuns, PromiseNoCallerThatARequestWhichRunsOnceHasNotRun) {
+  constexpr unsigned kBadGateway = 502;
+  for (const unsigned status : {408U, 429U, 503U}) {
+    FailWith(status);
+    for (const char* path : {"/book/x", "/chat/x"}) {
+      ExpectAnswer(path, status, kBadGateway);
+    }
+    for (const char* path : {"/book/stock/x", "/advice/x"}) {
+      ExpectAnswer(path, status, status);
+    }
+  }
+  EXPECT_EQ(fleet_.Metric(0, "beryllane_fleet_unproven_promises_total"), 6);
+}
+
 // A status that the library does not name reached callers as 000.
 TEST_F(FailedRuns, ReachCallersWithTheirStatus) {
   for (const unsigned status : {404U, 425U, 499U, 500U, 520U, 599U}) {
