Use no entry of a target that lacks fields of the protocol

Cause: only the fields that the router uses were asked for. Without a start time the entry passed as a new incarnation, whose gate is open. Change: an entry must have all fields of the protocol but `born`, which its examples lack; an entry without `born` is outdated once the target has stated it. An entry that cannot be used no longer keeps a lost target on a list that is read anew.

--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -121,9 +121,13 @@
 
 bool Fleet::IsOutdated(const TargetEntry& entry) const {
   const auto known = gates_.find(entry.id);
-  if (known == gates_.end() || entry.start_time == 0) return false;
-  const bool is_same = entry.start_time == known->second.start_time;
-  return entry.start_time < known->second.start_time ||
+  if (known == gates_.end()) return false;
+  // A target that states its start time does so in all entries; without one,
+  // each new entry may be another incarnation.
+  const std::int64_t known_start = known->second.start_time;
+  if (entry.start_time == 0 && known_start == 0) return false;
+  const bool is_same = entry.start_time == known_start;
+  return entry.start_time < known_start ||
          (is_same && entry.sequence < known->second.sequence);
 }
 
--- a/src/fleet/store_follower.cc
+++ b/src/fleet/store_follower.cc
@@ -419,10 +419,10 @@
   }
 }
 
-void StoreFollower::ApplyTarget(const platform::KeyedRecord& record) {
+bool StoreFollower::ApplyTarget(const platform::KeyedRecord& record) {
   if (record.value.empty()) {
     RemoveTarget(record.key);
-    return;
+    return false;
   }
   auto entry = platform::DecodeTarget(record.key, record.value);
   if (!entry.ok()) {
@@ -432,7 +432,7 @@
                     {"key", record.key},
                     {"offset", record.offset},
                     {"message", entry.error().message}});
-    return;
+    return false;
   }
   deferred_removals_.erase(record.key);
   const auto known = fleet_.targets().find(record.key);
@@ -449,6 +449,7 @@
                     {"offset", record.offset}});
   }
   fleet_.SetTarget(std::move(entry.value()));
+  return true;
 }
 
 void StoreFollower::ApplyOperatorSet(const platform::RecordPage& page) {
@@ -468,8 +469,13 @@
 void StoreFollower::ApplyTargetSet(const platform::RecordPage& page) {
   std::set<std::string> listed;
   for (const auto& record : page.records) {
-    if (!record.value.empty()) listed.insert(record.key);
-    ApplyTarget(record);
+    const bool is_used = ApplyTarget(record);
+    if (is_used || !record.value.empty()) listed.insert(record.key);
+    // A target whose entry another writer replaced writes again if it lives.
+    if (!is_used && fleet_.targets().contains(record.key)) {
+      deferred_removals_.try_emplace(record.key,
+                                     RuntimeClock::now() + kReregistrationTime);
+    }
   }
   // Live targets that are not listed write again soon after the list was read.
   if (!page.is_whole) {
--- a/src/fleet/store_follower.h
+++ b/src/fleet/store_follower.h
@@ -95,7 +95,8 @@
   std::optional<std::string> Reader() const;
   bool IsRelayActive() const;
   void ApplyOperator(const platform::KeyedRecord& record);
-  void ApplyTarget(const platform::KeyedRecord& record);
+  // Returns whether the record is an entry of a target.
+  bool ApplyTarget(const platform::KeyedRecord& record);
   void ApplyQuarantine(const platform::RecordPage& page);
   // The newest records of a topic, of which nothing is known yet or only what
   // is too old to go on from.
--- a/tests/src/process-odd_keys.cpp
+++ b/tests/src/process-odd_keys.cpp
@@ -35,5 +35,18 @@
   EXPECT_GT(fleet.Metric(0, "beryllane_ignored_target_records"), 0);
 }
 
+// A target whose entry another writer had replaced passed as listed when the
+// list was read anew, though it was lost.
+TEST(OddKeys, OfALostTargetDoNotKeepItOnTheList) {
+  constexpr int kTargets = PlatformFleet::kRunners + PlatformFleet::kDesks;
+  PlatformFleet fleet;
+  EXPECT_EQ(fleet.Metric(0, "beryllane_targets"), kTargets);
+  fleet.desk(1).Kill();
+  fleet.Put("keyed.servers", "desk-1", {{"state", "ready"}});
+  fleet.ControlStore({{"forget_history", "keyed.servers"}});
+  EXPECT_TRUE(Eventually(
+      [&] { return fleet.Metric(0, "beryllane_targets") == kTargets - 1; }));
+}
+
 }  // namespace
 }  // namespace beryllane::testing
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -105,6 +105,36 @@
   EXPECT_EQ(fleet.AvailableTargets("s").size(), 1U);
 }
 
+// An entry of another writer, without a start time, passed as a new incarnation
+// and brought a target that had left back into use.
+TEST(FleetState, AnEntryWithoutStartTimeIsNoIncarnationOfATargetThatStatesIt) {
+  Fleet fleet;
+  TargetEntry entry = Entry("i");
+  entry.start_time = 10;
+  entry.sequence = 7;
+  fleet.SetTarget(entry);
+  fleet.RemoveTarget("i");
+  entry.start_time = 0;
+  entry.sequence = 8;
+  fleet.SetTarget(entry);
+  EXPECT_TRUE(fleet.AvailableTargets("s").empty());
+  entry.start_time = 11;
+  entry.sequence = 1;
+  fleet.SetTarget(entry);
+  EXPECT_EQ(fleet.AvailableTargets("s").size(), 1U);
+}
+
+TEST(FleetState, ATargetThatStatesNoStartTimeMayStartAgain) {
+  Fleet fleet;
+  TargetEntry entry = Entry("i");
+  entry.sequence = 7;
+  fleet.SetTarget(entry);
+  fleet.RemoveTarget("i");
+  entry.sequence = 1;
+  fleet.SetTarget(entry);
+  EXPECT_EQ(fleet.AvailableTargets("s").size(), 1U);
+}
+
 TEST(FleetState, ANewIncarnationHasAnEmptyCache) {
   Fleet fleet;
   TargetEntry entry = Entry("i");
--- a/tests/src/unit-platform_codec.cpp
+++ b/tests/src/unit-platform_codec.cpp
@@ -106,7 +106,8 @@
   const auto entry = DecodeTarget(
       "i-1",
       R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1",
-          "slots":4,"state":"draining","sequence":12,"born":5,
+          "slots":4,"state":"draining","coldRemainingMs":0.5,"sequence":12,
+          "born":5,
           "models":[{"name":"m","version":3,"adapters":[]}]})");
   ASSERT_TRUE(entry.ok()) << entry.error().message;
   EXPECT_TRUE(entry.value().is_draining);
@@ -117,28 +118,36 @@
 
 TEST(PlatformTargets, EntriesOfOtherWritersNameNoTarget) {
   const std::string good =
-      R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":4,"state":"ready"})";
+      R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":4,)"
+      R"("state":"ready","version":"v1","coldRemainingMs":0,"sequence":1})";
   EXPECT_TRUE(DecodeTarget("i", good).ok());
   for (std::size_t size = 0; size < good.size(); ++size) {
     EXPECT_FALSE(DecodeTarget("i", good.substr(0, size)).ok());
   }
-  for (const char* field : {"service", "address", "zone", "slots", "state"}) {
+  for (const char* field : {"service", "address", "zone", "slots", "state",
+                            "version", "coldRemainingMs", "sequence"}) {
     std::string renamed = good;
     renamed.replace(renamed.find(field), 1, "X");
     EXPECT_FALSE(DecodeTarget("i", renamed).ok()) << field;
+    json of_another_type = json::parse(good);
+    of_another_type[field] = json::array();
+    EXPECT_FALSE(DecodeTarget("i", of_another_type.dump()).ok()) << field;
   }
   EXPECT_FALSE(DecodeTarget("i", R"([1,2])").ok());
   EXPECT_FALSE(
       DecodeTarget(
           "i",
-          R"({"service":"s","address":"x","zone":"z","slots":4,"state":"ready"})")
+          R"({"service":"s","address":"x","zone":"z","slots":4,"state":"ready",)"
+          R"("version":"v1","coldRemainingMs":0,"sequence":1})")
           .ok());
 }
 
 // An entry that is decoded, with one field replaced.
 std::string EntryWith(const std::string& field, const std::string& value) {
-  json entry{{"service", "desk"}, {"address", "10.0.0.1:80"}, {"zone", "za"},
-             {"slots", 8},        {"state", "ready"},         {"sequence", 1},
+  json entry{{"service", "desk"}, {"address", "10.0.0.1:80"},
+             {"zone", "za"},      {"slots", 8},
+             {"state", "ready"},  {"sequence", 1},
+             {"version", "v1"},   {"coldRemainingMs", 0},
              {"born", 5},         {"models", json::array()}};
   entry[field] = "@";
   std::string text = entry.dump();
@@ -157,6 +166,8 @@
       {"slots", "1e400"},
       {"slots", "-1"},
       {"slots", "4294967304"},
+      {"version", "1"},
+      {"coldRemainingMs", R"("0")"},
       {"sequence", "-1"},
       {"sequence", "18446744073709551616"},
       {"born", "1e300"},
--- a/tests/src/unit-store_list.cpp
+++ b/tests/src/unit-store_list.cpp
@@ -170,11 +170,10 @@
 
 // An id became part of a head as it was, so that it could add lines to it.
 TEST(TargetIds, ThatCannotStandInAHeadNameNoTarget) {
-  const json value{{"service", "desk"},
-                   {"address", "10.0.0.1:80"},
-                   {"zone", "a"},
-                   {"slots", 1},
-                   {"state", "ready"}};
+  const json value{{"service", "desk"}, {"address", "10.0.0.1:80"},
+                   {"zone", "a"},       {"slots", 1},
+                   {"state", "ready"},  {"version", "v1"},
+                   {"sequence", 1},     {"coldRemainingMs", 0}};
   for (const char* id : {"i-7", "a&b", "a b", "a%41", "a+b#c"}) {
     EXPECT_TRUE(DecodeTarget(id, value.dump()).ok()) << id;
   }
