--- a/tests/src/process-failed_runs.cpp
+++ b/tests/src/process-failed_runs.cpp
@@ -46,8 +46,7 @@
   int requests_ = 0;
 };
 
-// A 503 of a target that had run the request was passed on, and callers sent
-// the request again.
+// A 503 for a request that had run was relayed, and callers sent it again.
 TEST_F(FailedRuns, PromiseNoCallerThatARequestWhichRunsOnceHasNotRun) {
   constexpr unsigned kBadGateway = 502;
   for (const unsigned status : {408U, 429U, 503U}) {
--- a/tests/src/process-odd_keys.cpp
+++ b/tests/src/process-odd_keys.cpp
@@ -9,18 +9,17 @@
 
 using nlohmann::json;
 
+class OddKey : public ::testing::TestWithParam<const char*> {};
+
 // Routers that started while such an entry stood never became ready.
-TEST(OddKeys, OfAnotherWriterKeepNoStartingRouterFromTheTargets) {
+TEST_P(OddKey, OfAnotherWriterKeepsNoStartingRouterFromTheTargets) {
   constexpr int kRouters = 2;
-  // The store lists less on a page, so each name is the last of one.
-  constexpr int kEach = 5;
+  // The store lists less on a page, so one of these is the last of one.
+  constexpr int kEntries = 5;
   PlatformFleet fleet(kRouters);
-  for (const char* odd :
-       {"&", "+", "#", "%41", " ", "=", "\"", "\\", "\n", "é"}) {
-    for (int i = 0; i < kEach; ++i) {
-      fleet.Put("keyed.servers", fmt::format("a{}b-{}", odd, i),
-                {{"state", "of another kind"}});
-    }
+  for (int i = 0; i < kEntries; ++i) {
+    fleet.Put("keyed.servers", fmt::format("a{}b-{}", GetParam(), i),
+              {{"state", "of another kind"}});
   }
   for (int i = 0; i < kRouters; ++i) fleet.router(i).Kill();
   for (int i = 0; i < kRouters; ++i) fleet.StartRouter(i);
@@ -35,8 +34,11 @@
   EXPECT_GT(fleet.Metric(0, "beryllane_ignored_target_records"), 0);
 }
 
-// A target whose entry another writer had replaced passed as listed when the
-// list was read anew, though it was lost.
+INSTANTIATE_TEST_SUITE_P(Characters, OddKey,
+                         ::testing::Values("&", "+", "#", "%41", " ", "=", "\"",
+                                           "\\", "\n", "é"));
+
+// A lost target whose entry another writer had replaced passed as listed.
 TEST(OddKeys, OfALostTargetDoNotKeepItOnTheList) {
   constexpr int kTargets = PlatformFleet::kRunners + PlatformFleet::kDesks;
   PlatformFleet fleet;
--- a/tests/src/unit-cut_answers.cpp
+++ b/tests/src/unit-cut_answers.cpp
@@ -217,8 +217,7 @@
   }
 }
 
-// An answer with status 000 was skipped as an interim one, and one with a
-// status that the library does not name was passed on as 000.
+// An answer with status 000 was skipped as an interim one.
 TEST_F(CutAnswers, WithAStatusThatIsNone) {
   for (const char* status : {"000", "001", "099", "600", "999"}) {
     for (const char* body : {"Content-Length: 2\r\n\r\nok",
--- a/tests/src/unit-early_answer.cpp
+++ b/tests/src/unit-early_answer.cpp
@@ -167,8 +167,7 @@
   EXPECT_EQ(answered_, 2 * kTimes);
 }
 
-// The reset was told to the operation that sent the request, and the end of the
-// connection then passed as the end of the body.
+// The sending consumed the reset, and the reader took the end for the body's.
 TEST_F(EarlyAnswer, ThatIsResetWhileTheRequestIsSentIsNotWhole) {
   for (const int pause_ms : {0, 5, 30}) {
     for (const char* status : {"200 OK", "413 Too Large", "500 Failed"}) {
--- a/tests/src/unit-fleet.cpp
+++ b/tests/src/unit-fleet.cpp
@@ -105,8 +105,7 @@
   EXPECT_EQ(fleet.AvailableTargets("s").size(), 1U);
 }
 
-// An entry of another writer, without a start time, passed as a new incarnation
-// and brought a target that had left back into use.
+// Another writer's entry brought a target that had left back into use.
 TEST(FleetState, AnEntryWithoutStartTimeIsNoIncarnationOfATargetThatStatesIt) {
   Fleet fleet;
   TargetEntry entry = Entry("i");
