--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,64 +1,112 @@
 #!/usr/bin/env bash
-# Two models on runners of their own. New weights of the first are named five
-# times, 3 s apart; those of the second once. TROUBLE=0: only those of the second
-# are named.
+# A part of a prompt crashes each runner that begins to answer on it. The
+# requests with it, and the sound requests of the same caller, share another
+# part that comes later in the prompt. TROUBLE=0: nothing crashes.
 . "$(dirname "$0")/../lab-3/fleet.sh"
+RUNNERS=12
 ROUTERS=6
-VERSION_MS=8000
-VERSION_ALL_MS=11000
-NAMINGS=5
-READERS=6
+STABLE_MS=4000
+BEFORE=25
+AFTER=45
+DEADLY=()
+[ "$TROUBLE" = 0 ] || DEADLY=(--deadly dead0001)
+
+# Restarts a runner 3 s after it has crashed, under a new id.
+keep_runner() { # NUMBER
+  local child life=0
+  trap 'kill -KILL "$child" 2>/dev/null; exit' TERM
+  while :; do
+    "$LAB/runner" --listen "$(runner_ip "$1"):8080" --store "$STORE_CONTROL" \
+      --id "i-$1-$life" --service gown-scribe --zone "${ZONES[$(($1 % 3))]}" \
+      --model m0 --record "$RECORD" "${DEADLY[@]}" &
+    child=$!
+    wait "$child"
+    sleep 3 &
+    child=$!
+    wait "$child"
+    drop keyed.servers "i-$1-$life"
+    life=$((life + 1))
+  done
+}
+KEEPERS=()
+end_keepers() {
+  local pid
+  for pid in "${KEEPERS[@]}"; do kill -TERM "$pid" 2>/dev/null; done
+  for pid in "${KEEPERS[@]}"; do wait "$pid" 2>/dev/null; done
+  end_all
+}
+trap end_keepers EXIT
 
 start_store
-put keyed.op config '{"version":1,
- "routes":[
-  {"name":"reply","host":"salon.example","pathPrefix":"/reply/","kind":"streaming","timeoutMs":15000,"targetLatencyMs":500,"gapTargetMs":400,"priority":0,"service":"gown-scribe","maxAttempts":1,"public":false,"sticky":true,"resumable":false},
-  {"name":"verdict","host":"salon.example","pathPrefix":"/verdict/","kind":"streaming","timeoutMs":6000,"targetLatencyMs":600,"gapTargetMs":400,"priority":1,"service":"gown-reader","maxAttempts":2,"public":false,"sticky":true,"resumable":true}],
- "services":[
-  {"name":"gown-scribe","healthPath":"/health","maxConnections":360,"protocol":"h1","tls":false,"engine":{"slots":64,"kvCapacityTokens":114242,"kvTokenBytes":327680,"linkMbps":180000.0,"maxConcurrency":12,"models":[{"name":"m0"}]}},
-  {"name":"gown-reader","healthPath":"/health","maxConnections":360,"protocol":"h1","tls":false,"engine":{"slots":64,"kvCapacityTokens":114242,"kvTokenBytes":327680,"linkMbps":180000.0,"maxConcurrency":12,"models":[{"name":"m1"}]}}],
- "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
- "tenants":[{"name":"salon-1","apiKeys":["key-1"],"priority":1,"isolated":false}]}'
-for i in $(seq 12); do start_runner "$i" gown-scribe --model m0; done
-for i in $(seq 13 $((12 + READERS))); do start_runner "$i" gown-reader --model m1; done
+put_config 1
+for i in $(seq $RUNNERS); do
+  keep_runner "$i" >"$WORK/runner-$i.log" 2>&1 &
+  KEEPERS+=($!)
+done
 for i in $(seq $ROUTERS); do start_router "$i"; done
 wait_ready $ROUTERS
 sleep 5
 
-CALLERS=()
+# Sound requests of another caller, all the while.
 for i in $(seq $ROUTERS); do
-  call --to "$(front "$i")" --path /reply/1 --deadline_ms 15000 --model m0 \
-    --id "scribe$i" --parts "aa0$i:800,5000$i@:300" --count 30 --pause_ms 500
-  CALLERS+=("$CALLER_PID")
-  call --to "$(front "$i")" --path /verdict/1 --model m1 --id "reader$i" \
-    --parts "bb0$i:800,6000$i@:300" --count 30 --pause_ms 500
-  CALLERS+=("$CALLER_PID")
+  call --to "$(front "$i")" --key key-2 --path /reply/1 --deadline_ms 15000 \
+    --model m0 --id "other$i" --parts "bb0$i:800,5000$i@:300" --count 90 \
+    --pause_ms 600
 done
-name() { # MODEL VERSION
-  put keyed.op "version/$1" "{\"model\":\"$1\",\"version\":$2}"
-  note "named model=$1 version=$2"
+sound() { # NUMBER
+  call --to "$(front $(($1 % ROUTERS + 1)))" --path /reply/1 \
+    --deadline_ms 15000 --model m0 --id "sound$1" \
+    --parts "aa0001:800,6000$1:200"
 }
-for n in $(seq $NAMINGS); do
-  [ "$TROUBLE" = 0 ] || name m0 $((n + 1))
-  [ "$n" != 1 ] || name m1 2
-  sleep 3
+deadly() { # NUMBER
+  call --to "$(front $(($1 % ROUTERS + 1)))" --path /reply/1 \
+    --deadline_ms 15000 --model m0 --id "deadly$1" \
+    --parts "dead0001:600,aa0001:800,7000$1:200"
+}
+for n in $(seq $BEFORE); do
+  sound "$n"
+  sleep 1
+done
+# Three of the other kind within a second, at three machines; then one every
+# 4 s.
+sound $((BEFORE + 1))
+sleep 0.4
+for n in 1 2 3; do
+  deadly "$n"
+  sleep 0.2
+done
+for n in $(seq $AFTER); do
+  sound $((BEFORE + 1 + n))
+  [ $((n % 4)) != 0 ] || deadly $((3 + n))
+  sleep 1
 done
-wait "${CALLERS[@]}"
 
-named=$(grep 'named model=m1' "$RECORD" | sed 's/ .*//')
-behind=$(awk -v until=$((named + VERSION_ALL_MS)) -v all=$READERS '
-  / loaded model=m1 version=2/ && $1 <= until { n++ }
-  END { print all - n }' "$RECORD")
-counts=$(awk -v from=$((named + VERSION_MS)) -v until=$((named + 15000)) '
-  / sent request=reader/ && $1 > from && $1 < until { sent[$4] = 1 }
-  / run request=reader/ { ran[$4] = 1 }
-  END { for (id in sent) { n++; if (id in ran) r++ } print r + 0, n + 0 }' \
-  "$RECORD")
-read -r ran sent <<<"$counts"
-text="$behind of $READERS runners of m1 have the older version $VERSION_ALL_MS"
-text+=" ms after the newer one was named; of $sent requests for m1 that were"
-text+=" sent from $VERSION_MS to 15000 ms after it, $ran ran"
+from=$(grep ' crash ' "$RECORD" | sort -n | sed -n '1,5s/ .*//p' | tail -1)
+if [ "$TROUBLE" = 0 ]; then
+  from=$(grep 'sent request=deadly3-' "$RECORD" | sed 's/ .*//')
+fi
+[ -n "$from" ] || cannot_run "nothing crashed"
+first=$(grep 'sent request=deadly1-' "$RECORD" | sed 's/ .*//')
+# Share of the caller's sound requests that began to run, before the first
+# request of the other kind and from 2 x stableWindowMs after the fifth crash,
+# or the last.
+note "from=$from first=$first"
+result=$(awk -v first="$first" -v from=$((from + 2 * STABLE_MS)) '
+  / sent request=sound/ { sent[$4] = $1 }
+  / run request=sound/ { ran[$4] = 1 }
+  END {
+    for (id in sent) {
+      if (sent[id] < first) { before++; if (id in ran) began_before++ }
+      if (sent[id] >= from) { after++; if (id in ran) began_after++ }
+    }
+    print began_before + 0, before + 0, began_after + 0, after + 0
+  }' "$RECORD")
+read -r began_before before began_after after <<<"$result"
+crashes=$(grep -c ' crash ' "$RECORD")
+text="$crashes crashes; sound requests that began: $began_before of $before"
+text+=" before, $began_after of $after from $((2 * STABLE_MS)) ms after the"
+text+=" fifth crash or the last"
 note "check: $text"
 echo "$text"
-# More than one runner and over a tenth of them.
-[ "$behind" -le 1 ] || [ $((behind * 10)) -le $READERS ]
+[ "$before" -ge 20 ] && [ "$after" -ge 20 ] || cannot_run "too few requests"
+[ $((began_after * before * 2)) -ge $((began_before * after)) ]
--- a/review/lab-3/runner.cxx
+++ b/review/lab-3/runner.cxx
@@ -5,9 +5,11 @@
 // runner --listen IP:PORT --store IP:PORT --id ID --service S --zone Z
 //        [--model M] [--record FILE] [--deadly PART] [--unframed 1]
 //        [--first_ms N] [--events N] [--gap_ms N] [--load_ms N]
+//        [--prefill 1]
 #include <fcntl.h>
 
 #include <atomic>
+#include <map>
 #include <mutex>
 #include <thread>
 
@@ -23,6 +25,10 @@
 std::atomic<bool> is_loading{false};
 std::mutex order_mutex;
 long long highest_fence = 0;
+// Parts that are kept, by salt and id, with the version that they were made
+// under. A load drops them.
+std::mutex kept_mutex;
+std::map<std::string, int> kept;
 
 std::string Flag(const std::string& name, const std::string& otherwise = "") {
   const auto it = flags.find(name);
@@ -92,8 +98,74 @@
                            body);
 }
 
+// The version under which the runner at `source` keeps a part; 0 if it keeps
+// none.
+int AskFor(const std::string& source, const std::string& key) {
+  const int fd = lab::Connect(source, 500);
+  if (fd < 0) return 0;
+  lab::Send(fd, "GET /lab/kept/" + key +
+                    " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  lab::Reader reader(fd);
+  lab::Message answer;
+  lab::Read(reader, answer, true);
+  close(fd);
+  return std::atoi(answer.body.c_str());
+}
+
+// Reads the prompt: kept parts are used, then those that the source of
+// `Kv-Fetch` keeps, and the rest is prefilled. Returns whether a part was used
+// that was made under another version.
+bool ReadPrompt(const lab::Message& request) {
+  constexpr double kTokensPerMs = 42.6;
+  const std::string salt = request.Header("Cache-Salt");
+  const std::string source = request.Header("Kv-Fetch");
+  const std::string parts = request.Header("Prompt-Prefix");
+  const int now = version;
+  bool is_stale = false;
+  bool is_known = true;
+  long long prefill = 0;
+  for (std::size_t at = 0; at < parts.size();) {
+    std::size_t end = parts.find(',', at);
+    const bool is_last = end == std::string::npos;
+    if (is_last) end = parts.size();
+    const std::size_t colon = parts.find(':', at);
+    const std::string key = salt + "/" + parts.substr(at, colon - at);
+    const long long tokens = std::atoll(parts.c_str() + colon + 1);
+    at = end + 1;
+    int made = 0;
+    if (is_known && !is_last) {
+      {
+        const std::lock_guard<std::mutex> lock(kept_mutex);
+        const auto it = kept.find(key);
+        if (it != kept.end()) made = it->second;
+      }
+      if (made == 0 && !source.empty()) {
+        made = AskFor(source, key);
+        if (made != 0)
+          Record("fetched key=" + key + " made=" + std::to_string(made) +
+                 " from=" + source);
+      }
+    }
+    if (made == 0) {
+      is_known = false;
+      made = now;
+      prefill += tokens;
+    }
+    if (made != now) is_stale = true;
+    if (!is_last) {
+      const std::lock_guard<std::mutex> lock(kept_mutex);
+      kept[key] = made;
+    }
+  }
+  lab::SleepMs(static_cast<std::int64_t>(prefill / kTokensPerMs));
+  return is_stale;
+}
+
 // Runs a generation; false if the channel ends with its answer.
 bool Generate(int fd, const lab::Message& request, const std::string& id) {
+  if (Flag("prefill") == "1" && ReadPrompt(request)) {
+    Record("stale request=" + id + " version=" + std::to_string(version));
+  }
   const bool is_unframed = Flag("unframed") == "1";
   const int events = std::stoi(Flag("events", "20"));
   std::string more = "Response-Seal: seal." + id +
@@ -156,6 +228,10 @@
     is_loading = true;
     std::thread([wanted] {
       lab::SleepMs(std::stoi(Flag("load_ms", "430")));
+      {
+        const std::lock_guard<std::mutex> lock(kept_mutex);
+        kept.clear();
+      }
       version = wanted;
       is_loading = false;
       Record("loaded model=" + Flag("model") +
@@ -182,6 +258,11 @@
                     "{\"bootEpoch\":" + std::to_string(born) +
                         ",\"next\":0,\"lost\":false,\"events\":[]}");
   }
+  if (path.starts_with("/lab/kept/")) {
+    const std::lock_guard<std::mutex> lock(kept_mutex);
+    const auto it = kept.find(path.substr(10));
+    return SendJson(fd, 200, std::to_string(it == kept.end() ? 0 : it->second));
+  }
   if (path == "/api/report") {
     return SendJson(fd, 200,
                     "{\"stage\":\"unified\",\"models\":" + Models() +
