--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -70,7 +70,7 @@
 # Three of the other kind within a second, at three machines; then one every
 # 4 s.
 sound $((BEFORE + 1))
-sleep 0.4
+sleep 0.7
 for n in 1 2 3; do
   deadly "$n"
   sleep 0.2
